--- /dev/null
+++ b/bench/standins/engine_model.h
@@ -0,0 +1,51 @@
+/// Token times of a model engine that batches continuously. Shared by the stand-in engine and the load tool.
+#pragma once
+
+#include "wisteriashunt/time.h"
+
+#include <cstdint>
+#include <string>
+
+namespace wisteriashunt::standin
+{
+
+/// Timing of one engine.
+struct engine_model
+{
+    /// Time of one decoding step with an empty batch.
+    duration baseGap = std::chrono::microseconds(12000);
+    /// Added to a step by each running answer.
+    duration gapPerRunning = std::chrono::microseconds(600);
+    /// Time before the first token with no prompt.
+    duration basePrefill = std::chrono::milliseconds(40);
+    /// Added for each prompt token that is not in the prefix cache.
+    duration prefillPerToken = std::chrono::microseconds(100);
+    /// Factor on all times; above 1 for a straggler.
+    double slowness = 1;
+
+    /// Returns the time between two tokens with `running` answers in the batch.
+    [[nodiscard]] duration gap(std::size_t running) const
+    {
+        return scaled(baseGap + gapPerRunning * static_cast<std::int64_t>(running));
+    }
+
+    /// Returns the time to the first token.
+    [[nodiscard]] duration prefill(std::uint32_t uncachedTokens, std::size_t running) const
+    {
+        return scaled(basePrefill + prefillPerToken * uncachedTokens) + gap(running);
+    }
+
+private:
+    [[nodiscard]] duration scaled(duration value) const
+    {
+        return fromSeconds(toSeconds(value) * slowness);
+    }
+};
+
+/// Returns the text of one token. It names its request, so that a spliced or foreign answer is seen.
+[[nodiscard]] inline std::string tokenText(const std::string &requestTag, std::uint32_t index)
+{
+    return requestTag + "." + std::to_string(index) + " ";
+}
+
+} // namespace wisteriashunt::standin
--- /dev/null
+++ b/include/wisteriashunt/messages.h
@@ -0,0 +1,274 @@
+/// Messages between entry and endpoint processes. Each travels as one length-prefixed msgpack frame.
+#pragma once
+
+#include "wisteriashunt/resources.h"
+#include "wisteriashunt/time.h"
+
+#include <msgpack.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace wisteriashunt
+{
+
+/// Version of the frame protocol. Peers with another version are refused.
+constexpr std::uint32_t protocolVersion = 1;
+
+/// Identifies a request: the incarnation of the entry that took it and a number that the entry never reuses.
+struct request_id
+{
+    std::uint64_t entry = 0;
+    std::uint64_t sequence = 0;
+
+    auto operator<=>(const request_id &) const = default;
+    MSGPACK_DEFINE(entry, sequence)
+};
+
+/// Returns the identifier in the form "entry-sequence", both hexadecimal.
+[[nodiscard]] std::string toString(const request_id &id);
+
+/// One try at a request. A message of an older attempt never acts on a newer one.
+struct attempt_id
+{
+    request_id request;
+    std::uint32_t attempt = 0;
+
+    auto operator<=>(const attempt_id &) const = default;
+    MSGPACK_DEFINE(request, attempt)
+};
+
+/// First message of a dialling process.
+struct hello
+{
+    std::uint32_t protocol = protocolVersion;
+    std::string instance;
+    std::uint64_t incarnation = 0;
+    std::string keyName;
+    std::string nonce;
+
+    auto operator<=>(const hello &) const = default;
+    MSGPACK_DEFINE(protocol, instance, incarnation, keyName, nonce)
+};
+
+/// Reply of the accepting process; `proof` is an HMAC over the dialler's nonce.
+struct welcome
+{
+    std::uint32_t protocol = protocolVersion;
+    std::string instance;
+    std::string endpointName;
+    std::uint64_t incarnation = 0;
+    std::string nonce;
+    std::string proof;
+
+    auto operator<=>(const welcome &) const = default;
+    MSGPACK_DEFINE(protocol, instance, endpointName, incarnation, nonce, proof)
+};
+
+/// Last message of the handshake; `proof` is an HMAC over the acceptor's nonce.
+struct hello_proof
+{
+    std::string proof;
+
+    auto operator<=>(const hello_proof &) const = default;
+    MSGPACK_DEFINE(proof)
+};
+
+/// Periodic sign of life of either side.
+struct heartbeat
+{
+    log_offset configuration = 0;
+    bool leaving = false;
+    std::uint32_t running = 0;
+    std::uint32_t limit = 0;
+    std::array<std::uint32_t, tierCount> waiting {};
+
+    auto operator<=>(const heartbeat &) const = default;
+    MSGPACK_DEFINE(configuration, leaving, running, limit, waiting)
+};
+
+/// Entry to endpoint: hold a place in the order for this attempt.
+struct reserve
+{
+    attempt_id id;
+    std::string className;
+    std::string workspaceName;
+    /// Time that the request had already waited when the message was sent, in microseconds.
+    std::int64_t waitedMicroseconds = 0;
+    std::uint32_t promptTokens = 0;
+    bool idempotent = true;
+
+    auto operator<=>(const reserve &) const = default;
+    MSGPACK_DEFINE(id, className, workspaceName, waitedMicroseconds, promptTokens, idempotent)
+};
+
+/// Why an entry takes a reservation back.
+enum class withdraw_reason : std::uint8_t {
+    bound_elsewhere,
+    caller_gone,
+    refused,
+};
+
+/// Entry to endpoint: give up a reservation or an offer.
+struct withdraw
+{
+    attempt_id id;
+    std::uint8_t reason = 0;
+
+    auto operator<=>(const withdraw &) const = default;
+    MSGPACK_DEFINE(id, reason)
+};
+
+/// Entry to endpoint: run the attempt in the offered slot.
+struct start
+{
+    attempt_id id;
+    std::uint64_t endpointIncarnation = 0;
+    std::string method;
+    std::string path;
+    std::string contentType;
+    std::string body;
+    bool streaming = false;
+    bool idempotent = true;
+    std::uint32_t resumeFrom = 0;
+
+    auto operator<=>(const start &) const = default;
+    MSGPACK_DEFINE(id, endpointIncarnation, method, path, contentType, body, streaming, idempotent, resumeFrom)
+};
+
+/// Entry to endpoint: stop the attempt, nobody reads its answer any more.
+struct cancel
+{
+    attempt_id id;
+
+    auto operator<=>(const cancel &) const = default;
+    MSGPACK_DEFINE(id)
+};
+
+/// Entry to endpoint: what became of this attempt? If it never started, it never will after this.
+struct fate_query
+{
+    attempt_id id;
+    std::uint64_t endpointIncarnation = 0;
+
+    auto operator<=>(const fate_query &) const = default;
+    MSGPACK_DEFINE(id, endpointIncarnation)
+};
+
+/// Endpoint to entry: no slot is free now, the reservation waits.
+struct queued
+{
+    attempt_id id;
+
+    auto operator<=>(const queued &) const = default;
+    MSGPACK_DEFINE(id)
+};
+
+/// Endpoint to entry: a slot is free for this attempt.
+struct offer
+{
+    attempt_id id;
+    std::uint64_t endpointIncarnation = 0;
+
+    auto operator<=>(const offer &) const = default;
+    MSGPACK_DEFINE(id, endpointIncarnation)
+};
+
+/// Endpoint to entry: the attempt has no place here and did not run here.
+struct refused
+{
+    attempt_id id;
+    std::uint8_t kind = 0;
+    std::int64_t retryAfterMicroseconds = 0;
+
+    auto operator<=>(const refused &) const = default;
+    MSGPACK_DEFINE(id, kind, retryAfterMicroseconds)
+};
+
+/// Endpoint to entry: part of the answer. `offset` counts the events of the answer before this one.
+struct chunk
+{
+    attempt_id id;
+    std::uint32_t offset = 0;
+    /// Number of events in `data`.
+    std::uint32_t events = 0;
+    std::string data;
+
+    auto operator<=>(const chunk &) const = default;
+    MSGPACK_DEFINE(id, offset, events, data)
+};
+
+/// Endpoint to entry: the answer is complete. A plain answer carries its body here.
+struct finished
+{
+    attempt_id id;
+    std::int32_t httpStatus = 0;
+    std::string contentType;
+    std::string body;
+    std::uint32_t events = 0;
+
+    auto operator<=>(const finished &) const = default;
+    MSGPACK_DEFINE(id, httpStatus, contentType, body, events)
+};
+
+/// Endpoint to entry: the attempt started and broke off.
+struct failed
+{
+    attempt_id id;
+    std::string detail;
+
+    auto operator<=>(const failed &) const = default;
+    MSGPACK_DEFINE(id, detail)
+};
+
+/// What an endpoint process knows of an attempt.
+enum class fate : std::uint8_t {
+    never_started,
+    running,
+    ended,
+    failed,
+    unknown,
+};
+
+/// Endpoint to entry: answer to `fate_query`; an ended plain answer comes with it.
+struct fate_answer
+{
+    attempt_id id;
+    std::uint8_t state = 0;
+    finished outcome;
+
+    auto operator<=>(const fate_answer &) const = default;
+    MSGPACK_DEFINE(id, state, outcome)
+};
+
+/// Either side: a newer configuration than the peer has, as the JSON form of `configuration_state`.
+struct configuration_update
+{
+    std::string snapshot;
+
+    auto operator<=>(const configuration_update &) const = default;
+    MSGPACK_DEFINE(snapshot)
+};
+
+/// Any message. The position of a type in the list is its number on the wire, so new types go at the end.
+using message = std::variant<hello,
+                             welcome,
+                             hello_proof,
+                             heartbeat,
+                             reserve,
+                             withdraw,
+                             start,
+                             cancel,
+                             fate_query,
+                             queued,
+                             offer,
+                             refused,
+                             chunk,
+                             finished,
+                             failed,
+                             fate_answer,
+                             configuration_update>;
+
+} // namespace wisteriashunt
--- /dev/null
+++ b/include/wisteriashunt/time.h
@@ -0,0 +1,53 @@
+/// Time types and the clock interface. Decision code takes `time_point` values as arguments; only the shells read a clock.
+#pragma once
+
+#include <chrono>
+
+namespace wisteriashunt
+{
+
+/// All durations are held in microseconds.
+using duration = std::chrono::microseconds;
+
+/// An instant, in microseconds since the Unix epoch.
+using time_point = std::chrono::time_point<std::chrono::system_clock, duration>;
+
+/// Source of the current time. Guarantees that successive readings never decrease.
+class clock_source
+{
+public:
+    virtual ~clock_source() = default;
+    [[nodiscard]] virtual time_point now() const = 0;
+};
+
+/// Monotonic clock anchored to wall time when it is constructed, so that steps of the wall clock never reorder decisions.
+class anchored_clock final : public clock_source
+{
+public:
+    anchored_clock();
+    [[nodiscard]] time_point now() const override;
+
+private:
+    std::chrono::steady_clock::time_point m_steadyAnchor;
+    time_point m_wallAnchor;
+};
+
+/// Returns the duration in seconds.
+[[nodiscard]] constexpr double toSeconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+/// Returns the duration in milliseconds.
+[[nodiscard]] constexpr double toMilliseconds(duration value)
+{
+    return std::chrono::duration<double, std::milli>(value).count();
+}
+
+/// Converts seconds to a duration, rounding towards zero.
+[[nodiscard]] constexpr duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
+} // namespace wisteriashunt
--- /dev/null
+++ b/src/configuration/reducer.cpp
@@ -0,0 +1,245 @@
+#include "configuration/reducer.h"
+
+#include "configuration/resource_json.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace wisteriashunt
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// Verdicts that are remembered, so that a repeated change counts once.
+constexpr std::size_t rememberedVerdicts = 1000;
+
+resource resourceFromJson(const std::string &kind, const std::string &name, const json &spec, bool isDelete)
+{
+    if (kind == "class") {
+        return isDelete ? traffic_class {.name = name} : classFromJson(name, spec);
+    }
+    if (kind == "workspace") {
+        return isDelete ? workspace {.name = name} : workspaceFromJson(name, spec);
+    }
+    if (kind == "endpoint") {
+        return isDelete ? endpoint {.name = name} : endpointFromJson(name, spec);
+    }
+    throw json::other_error::create(501, "unknown kind " + kind, nullptr);
+}
+
+configuration_change changeFromJson(const json &record)
+{
+    const bool isDelete = record.at("op").get<std::string>() == "delete";
+    return {.changeId = record.at("changeId").get<std::string>(),
+            .author = record.at("author").get<std::string>(),
+            .at = record.at("at").get<std::string>(),
+            .base = record.at("base").get<log_offset>(),
+            .isDelete = isDelete,
+            .value =
+                resourceFromJson(record.at("kind").get<std::string>(), record.at("name").get<std::string>(), record.value("spec", json::object()), isDelete)};
+}
+
+std::optional<json> parseObject(const std::string &text)
+{
+    json parsed = json::parse(text, nullptr, false);
+    if (parsed.is_discarded() || !parsed.is_object()) {
+        return std::nullopt;
+    }
+    return parsed;
+}
+
+} // namespace
+
+std::string makeChangeRecord(const configuration_change &change)
+{
+    json record {{"type", "change"},
+                 {"changeId", change.changeId},
+                 {"author", change.author},
+                 {"at", change.at},
+                 {"base", change.base},
+                 {"op", change.isDelete ? "delete" : "put"},
+                 {"kind", kindOf(change.value)},
+                 {"name", nameOf(change.value)}};
+    if (!change.isDelete) {
+        record["spec"] = std::visit([](const auto &concrete) { return toJson(concrete); }, change.value);
+    }
+    return record.dump();
+}
+
+bool configuration_reducer::apply(const log_page &page)
+{
+    if (m_state.offset + 1 < page.firstRetained && m_next < page.firstRetained) {
+        m_hasGap = true;
+        m_buffered.clear();
+        m_next = page.firstRetained;
+    }
+    for (const auto &record : page.records) {
+        if (record.offset < m_next) {
+            continue;
+        }
+        m_next = record.offset + 1;
+        applyRecord(record);
+    }
+    return !m_hasGap;
+}
+
+void configuration_reducer::applyRecord(const log_record &record)
+{
+    const auto parsed = parseObject(record.data);
+    const bool isSnapshot = parsed && parsed->value("type", "") == "snapshot";
+    if (isSnapshot) {
+        m_lastSnapshotAt = record.offset;
+    }
+    if (!m_hasGap) {
+        if (record.offset > m_state.offset) {
+            if (!isSnapshot) {
+                applyChange(record, record.data);
+            }
+            m_state.offset = record.offset;
+        }
+        return;
+    }
+    if (!isSnapshot) {
+        m_buffered.push_back(record);
+        return;
+    }
+    const log_offset coveredUpTo = parsed->contains("state") ? (*parsed)["state"].value("offset", log_offset {0}) : 0;
+    const log_offset firstBuffered = m_buffered.empty() ? record.offset : m_buffered.front().offset;
+    if (coveredUpTo + 1 < firstBuffered || !adoptSnapshot((*parsed)["state"].dump())) {
+        return;
+    }
+    // Changes that were appended while the snapshot was on its way come before it in the log.
+    for (const auto &buffered : std::exchange(m_buffered, {})) {
+        if (buffered.offset > m_state.offset) {
+            applyChange(buffered, buffered.data);
+            m_state.offset = buffered.offset;
+        }
+    }
+    m_state.offset = std::max(m_state.offset, record.offset);
+}
+
+bool configuration_reducer::adoptSnapshot(const std::string &snapshot)
+{
+    const auto parsed = parseObject(snapshot);
+    if (!parsed) {
+        return false;
+    }
+    try {
+        configuration_state adopted = stateFromJson(*parsed);
+        if (adopted.offset <= m_state.offset) {
+            return false;
+        }
+        // The remembered verdicts are part of the state: readers that remember different ones would judge a repeated change differently.
+        m_verdicts.clear();
+        m_verdictOrder.clear();
+        for (const auto &item : parsed->value("verdicts", json::array())) {
+            remember(item.at(0).get<std::string>(), static_cast<change_verdict>(item.at(1).get<int>()));
+        }
+        m_state = std::move(adopted);
+        m_hasGap = false;
+        return true;
+    } catch (const json::exception &) {
+        return false;
+    }
+}
+
+std::string configuration_reducer::makeSnapshot() const
+{
+    json snapshot = toJson(m_state);
+    json verdicts = json::array();
+    for (const auto &changeId : m_verdictOrder) {
+        verdicts.push_back({changeId, static_cast<int>(m_verdicts.at(changeId))});
+    }
+    snapshot["verdicts"] = verdicts;
+    return snapshot.dump();
+}
+
+std::string configuration_reducer::makeSnapshotRecord() const
+{
+    return json {{"type", "snapshot"}, {"state", json::parse(makeSnapshot())}}.dump();
+}
+
+void configuration_reducer::applyChange(const log_record &record, const std::string &text)
+{
+    const auto parsed = parseObject(text);
+    if (!parsed || parsed->value("type", "") != "change") {
+        return;
+    }
+    try {
+        const configuration_change change = changeFromJson(*parsed);
+        if (m_verdicts.contains(change.changeId)) {
+            return;
+        }
+        const auto verdict = std::visit(
+            [&](const auto &value) {
+                using concrete = std::decay_t<decltype(value)>;
+                if constexpr (std::is_same_v<concrete, traffic_class>) {
+                    return judge(m_state.classes, change, record.offset);
+                } else if constexpr (std::is_same_v<concrete, workspace>) {
+                    return judge(m_state.workspaces, change, record.offset);
+                } else {
+                    return judge(m_state.endpoints, change, record.offset);
+                }
+            },
+            change.value);
+        remember(change.changeId, verdict);
+    } catch (const json::exception &) {
+        remember(parsed->value("changeId", ""), change_verdict::malformed);
+    }
+}
+
+template<typename T>
+change_verdict configuration_reducer::judge(std::map<std::string, versioned<T>> &resources, const configuration_change &change, log_offset offset)
+{
+    const std::string name = nameOf(change.value);
+    const auto present = resources.find(name);
+    const log_offset version = present == resources.end() ? 0 : present->second.version;
+    if (version != change.base || (change.isDelete && version == 0)) {
+        return change_verdict::conflict;
+    }
+    if (change.isDelete) {
+        resources.erase(present);
+    } else {
+        resources[name] = {.value = std::get<T>(change.value), .version = offset, .author = change.author, .changedAt = change.at};
+    }
+    return change_verdict::accepted;
+}
+
+void configuration_reducer::remember(const std::string &changeId, change_verdict verdict)
+{
+    if (!m_verdicts.emplace(changeId, verdict).second) {
+        return;
+    }
+    m_verdictOrder.push_back(changeId);
+    if (m_verdictOrder.size() > rememberedVerdicts) {
+        m_verdicts.erase(m_verdictOrder.front());
+        m_verdictOrder.erase(m_verdictOrder.begin());
+    }
+}
+
+const configuration_state &configuration_reducer::state() const
+{
+    return m_state;
+}
+
+change_verdict configuration_reducer::verdictOf(const std::string &changeId) const
+{
+    const auto found = m_verdicts.find(changeId);
+    return found == m_verdicts.end() ? change_verdict::unknown : found->second;
+}
+
+log_offset configuration_reducer::lastSnapshotAt() const
+{
+    return m_lastSnapshotAt;
+}
+
+log_offset configuration_reducer::nextOffset() const
+{
+    return std::max(m_next, m_state.offset + 1);
+}
+
+} // namespace wisteriashunt
--- /dev/null
+++ b/src/configuration/resource_json.h
@@ -0,0 +1,22 @@
+/// JSON form of resources and of the whole configuration, as kept in the log.
+#pragma once
+
+#include "wisteriashunt/resources.h"
+
+#include <nlohmann/json.hpp>
+
+namespace wisteriashunt
+{
+
+[[nodiscard]] nlohmann::json toJson(const traffic_class &value);
+[[nodiscard]] nlohmann::json toJson(const workspace &value);
+[[nodiscard]] nlohmann::json toJson(const endpoint &value);
+[[nodiscard]] nlohmann::json toJson(const configuration_state &value);
+
+/// Each of these throws `nlohmann::json::exception` when a field is absent or of another type.
+[[nodiscard]] traffic_class classFromJson(const std::string &name, const nlohmann::json &spec);
+[[nodiscard]] workspace workspaceFromJson(const std::string &name, const nlohmann::json &spec);
+[[nodiscard]] endpoint endpointFromJson(const std::string &name, const nlohmann::json &spec);
+[[nodiscard]] configuration_state stateFromJson(const nlohmann::json &value);
+
+} // namespace wisteriashunt
--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,54 @@
+// wisteriashuntctl: the operators' command-line tool.
+#include "ctl/commands.h"
+
+#include "wisteriashunt/errors.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <curl/curl.h>
+
+#include <cstdlib>
+#include <iostream>
+
+ABSL_FLAG(std::string, log, "http://127.0.0.1:9000", "Base address of the platform's log service.");
+ABSL_FLAG(std::string, instances, "", "Base address of the platform's instance list; empty takes that of the log.");
+ABSL_FLAG(std::string, f, "", "File with declarations (YAML).");
+ABSL_FLAG(std::string, o, "table", "Output: table, json or yaml.");
+ABSL_FLAG(bool, wait, false, "Wait until the change is in force at every live instance.");
+ABSL_FLAG(int, timeout, 30, "Longest wait, in seconds.");
+ABSL_FLAG(std::uint64_t, if_version, 0, "Version that the change must be based on; 0 takes the present one.");
+ABSL_FLAG(int, count, 0, "Stops watch after this many changes; 0 never.");
+ABSL_FLAG(std::string, author, "", "Name recorded with changes; empty takes the USER variable.");
+ABSL_FLAG(std::string, class, "", "Limits audit to a class.");
+ABSL_FLAG(std::string, endpoint, "", "Limits audit to an endpoint.");
+
+int main(int argc, char **argv)
+{
+    using namespace wisteriashunt::ctl;
+    absl::SetProgramUsageMessage("wisteriashuntctl apply|get|describe|delete|diff|watch|status|drain|audit|version [flags]");
+    const std::vector<char *> positional = absl::ParseCommandLine(argc, argv);
+    const char *user = std::getenv("USER");
+    const std::string instances = absl::GetFlag(FLAGS_instances);
+    const std::string author = absl::GetFlag(FLAGS_author);
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    const client_options clientOptions {.logUrl = absl::GetFlag(FLAGS_log),
+                                        .instancesUrl = instances.empty() ? absl::GetFlag(FLAGS_log) : instances,
+                                        .author = !author.empty() ? author : (user != nullptr ? user : "unknown"),
+                                        .timeout = std::chrono::seconds(absl::GetFlag(FLAGS_timeout))};
+    const command_options options {.arguments = {positional.begin() + 1, positional.end()},
+                                   .file = absl::GetFlag(FLAGS_f),
+                                   .output = absl::GetFlag(FLAGS_o),
+                                   .wait = absl::GetFlag(FLAGS_wait),
+                                   .ifVersion = absl::GetFlag(FLAGS_if_version),
+                                   .watchCount = absl::GetFlag(FLAGS_count),
+                                   .className = absl::GetFlag(FLAGS_class),
+                                   .endpointName = absl::GetFlag(FLAGS_endpoint)};
+    try {
+        operator_client client(clientOptions);
+        return runCommand(client, options);
+    } catch (const std::exception &error) {
+        std::cerr << "error: " << error.what() << '\n';
+        return exit_failure;
+    }
+}
--- /dev/null
+++ b/src/daemon/claim_writer.h
@@ -0,0 +1,48 @@
+/// Thread that appends claim records in groups, because the log takes only several hundred appends a second.
+#pragma once
+
+#include "transport/bounded_ring.h"
+#include "wisteriashunt/platform.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace wisteriashunt
+{
+
+/// Name of the stream in the platform's log.
+constexpr const char *claimStream = "claims";
+
+/// Settings of a claim_writer.
+struct claim_writer_options
+{
+    /// Time in which records gather into one append.
+    duration groupInterval = std::chrono::milliseconds(5);
+    duration retryInterval = std::chrono::milliseconds(100);
+    std::size_t ringCapacity = 65536;
+};
+
+/// Writes records in the order in which they were given, again after a failure: every record tolerates being written twice.
+class claim_writer
+{
+public:
+    claim_writer(const claim_writer_options &options, std::unique_ptr<log_service> log);
+    ~claim_writer();
+    claim_writer(const claim_writer &) = delete;
+    claim_writer &operator=(const claim_writer &) = delete;
+
+    void append(const std::string &record);
+
+private:
+    void run();
+
+    claim_writer_options m_options;
+    std::unique_ptr<log_service> m_log;
+    bounded_ring<std::string> m_ring;
+    std::atomic<bool> m_isStopping {false};
+    std::thread m_thread;
+};
+
+} // namespace wisteriashunt
--- /dev/null
+++ b/src/daemon/decision_recorder.cpp
@@ -0,0 +1,103 @@
+#include "daemon/decision_recorder.h"
+
+#include "wisteriashunt/errors.h"
+
+#include <easylogging++.h>
+
+namespace wisteriashunt
+{
+
+namespace
+{
+
+constexpr duration popWait = std::chrono::milliseconds(100);
+
+} // namespace
+
+decision_recorder::decision_recorder(const recorder_options &options, std::unique_ptr<log_service> log, metrics &counters, const clock_source &clock)
+    : m_options(options)
+    , m_log(std::move(log))
+    , m_metrics(counters)
+    , m_clock(clock)
+    , m_chain(options.instance, options.incarnation)
+    , m_ring(options.ringCapacity)
+    , m_thread([this] { run(); })
+{
+}
+
+decision_recorder::~decision_recorder()
+{
+    stop(duration::zero());
+}
+
+void decision_recorder::record(const decision &value)
+{
+    m_ring.push(value);
+}
+
+void decision_recorder::stop(duration longest)
+{
+    m_stopBy = (m_clock.now() + longest).time_since_epoch().count();
+    m_isStopping = true;
+    m_ring.close();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void decision_recorder::run()
+{
+    while (!m_isStopping) {
+        takeDecisions(popWait);
+        if (m_clock.now() - m_lastAppend >= m_options.appendInterval) {
+            appendBatch();
+        }
+    }
+    takeDecisions(duration::zero());
+    while ((!m_backlog.empty() || !m_sealed.empty()) && m_clock.now().time_since_epoch().count() < m_stopBy) {
+        appendBatch();
+    }
+}
+
+void decision_recorder::takeDecisions(duration wait)
+{
+    for (const auto &value : m_ring.popAll(wait)) {
+        LOG(INFO) << toLogLine(value);
+        m_metrics.observe(value);
+        if (isEvidence(value.event)) {
+            m_backlog.push_back(value);
+        }
+    }
+    dropOldest();
+}
+
+void decision_recorder::dropOldest()
+{
+    if (m_backlog.size() <= m_options.largestBacklog) {
+        return;
+    }
+    const auto excess = m_backlog.size() - m_options.largestBacklog;
+    m_backlog.erase(m_backlog.begin(), m_backlog.begin() + static_cast<std::ptrdiff_t>(excess));
+    m_chain.noteLost(excess);
+}
+
+void decision_recorder::appendBatch()
+{
+    m_lastAppend = m_clock.now();
+    if (m_sealed.empty()) {
+        if (m_backlog.empty()) {
+            return;
+        }
+        const auto count = static_cast<std::ptrdiff_t>(std::min(m_backlog.size(), m_options.largestBatch));
+        m_sealed = m_chain.seal({m_backlog.begin(), m_backlog.begin() + count});
+        m_backlog.erase(m_backlog.begin(), m_backlog.begin() + count);
+    }
+    try {
+        m_log->append(evidenceStream, {m_sealed});
+        m_sealed.clear();
+    } catch (const shunt_error &) {
+        // The same batch is offered again; the audit knows a batch that was written twice.
+    }
+}
+
+} // namespace wisteriashunt
--- /dev/null
+++ b/src/daemon/metrics.h
@@ -0,0 +1,43 @@
+/// Counters and summaries of decisions, served in the Prometheus text format.
+#pragma once
+
+#include "evidence/decision.h"
+
+#include <absl/synchronization/mutex.h>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace wisteriashunt
+{
+
+/// Collects from the recorder thread, renders on the admin thread.
+class metrics
+{
+public:
+    void observe(const decision &value);
+
+    /// Adds a gauge that is read when the page is rendered.
+    void addGauge(const std::string &name, std::function<double()> read);
+
+    [[nodiscard]] std::string render() const;
+
+private:
+    using summary = boost::accumulators::accumulator_set<
+        double,
+        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum, boost::accumulators::tag::extended_p_square_quantile>>;
+
+    mutable absl::Mutex m_mutex;
+    std::map<std::pair<std::string, std::string>, std::uint64_t> m_events ABSL_GUARDED_BY(m_mutex);
+    std::map<std::string, summary> m_waits ABSL_GUARDED_BY(m_mutex);
+    std::map<std::string, std::function<double()>> m_gauges ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace wisteriashunt
--- /dev/null
+++ b/src/daemon/stream_follower.cpp
@@ -0,0 +1,44 @@
+#include "daemon/stream_follower.h"
+
+#include "wisteriashunt/errors.h"
+
+namespace wisteriashunt
+{
+
+stream_follower::stream_follower(const follower_options &options, std::unique_ptr<log_service> log)
+    : m_options(options)
+    , m_log(std::move(log))
+    , m_thread([this] { run(); })
+{
+}
+
+stream_follower::~stream_follower()
+{
+    m_isStopping = true;
+    m_thread.join();
+}
+
+void stream_follower::run()
+{
+    bool isAvailable = false;
+    while (!m_isStopping) {
+        const log_offset from = m_options.nextOffset();
+        try {
+            const log_page page = m_log->read(m_options.stream, from, m_options.readWait);
+            m_options.onPage(page);
+            const bool hasReachedEnd = page.records.empty() || page.records.back().offset + 1 >= page.next;
+            if (!isAvailable && hasReachedEnd) {
+                isAvailable = true;
+                m_options.onAvailability(true);
+            }
+        } catch (const shunt_error &) {
+            if (isAvailable) {
+                isAvailable = false;
+                m_options.onAvailability(false);
+            }
+            std::this_thread::sleep_for(m_options.retryInterval);
+        }
+    }
+}
+
+} // namespace wisteriashunt
--- /dev/null
+++ b/src/daemon/stream_follower.h
@@ -0,0 +1,48 @@
+/// Thread that follows one stream of the platform's log.
+#pragma once
+
+#include "wisteriashunt/platform.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace wisteriashunt
+{
+
+/// Settings of a stream_follower.
+struct follower_options
+{
+    std::string stream;
+    /// Longest wait of the log for a new record.
+    duration readWait = std::chrono::milliseconds(400);
+    duration retryInterval = std::chrono::milliseconds(200);
+    /// Returns the offset to read from next.
+    std::function<log_offset()> nextOffset;
+    /// Takes a page, which may be empty.
+    std::function<void(const log_page &)> onPage;
+    /// Called when reading begins to fail or to succeed.
+    std::function<void(bool available)> onAvailability;
+};
+
+/// Reads until it is stopped.
+class stream_follower
+{
+public:
+    stream_follower(const follower_options &options, std::unique_ptr<log_service> log);
+    ~stream_follower();
+    stream_follower(const stream_follower &) = delete;
+    stream_follower &operator=(const stream_follower &) = delete;
+
+private:
+    void run();
+
+    follower_options m_options;
+    std::unique_ptr<log_service> m_log;
+    std::atomic<bool> m_isStopping {false};
+    std::thread m_thread;
+};
+
+} // namespace wisteriashunt
--- /dev/null
+++ b/src/endpoint/endpoint_core.h
@@ -0,0 +1,160 @@
+/// The decisions of an endpoint process. It alone orders the work of its back end. No I/O, no threads and no clock: events in, actions out.
+#pragma once
+
+#include "endpoint/concurrency_limiter.h"
+#include "endpoint/operation_ledger.h"
+#include "endpoint/wait_predictor.h"
+#include "endpoint/work_queue.h"
+#include "evidence/decision.h"
+#include "membership/core_events.h"
+#include "wisteriashunt/errors.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace wisteriashunt
+{
+
+/// Settings of an endpoint_core.
+struct endpoint_core_options
+{
+    std::string endpointName;
+    std::uint64_t incarnation = 1;
+    limiter_options limiter;
+    ledger_options ledger;
+    /// An offer of a repeatable attempt that is not taken up in this time is withdrawn.
+    duration offerLifetime = std::chrono::milliseconds(500);
+    /// The same for an attempt that must not repeat; its entry writes a claim to the log in between.
+    duration claimOfferLifetime = std::chrono::seconds(5);
+    /// A back end that is silent for this long during an answer has failed the attempt.
+    duration stallTimeout = std::chrono::seconds(10);
+    /// Replaces the shedding policy; empty keeps `selectShedWork`.
+    std::function<std::vector<std::pair<waiting_work, duration>>(time_point, const work_queue &, const wait_predictor &)> shedPolicy;
+};
+
+/// The back end sent events of an answer.
+struct upstream_chunk
+{
+    attempt_id id;
+    std::uint32_t events = 0;
+    std::string data;
+};
+
+/// The back end completed an answer.
+struct upstream_finished
+{
+    finished outcome;
+};
+
+/// The back end broke off. `reached` is false only if it is proven that the request was never sent.
+struct upstream_failed
+{
+    attempt_id id;
+    bool reached = true;
+    std::string detail;
+};
+
+/// Every event of an endpoint_core.
+using endpoint_event = std::variant<peer_message, peer_lost, upstream_chunk, upstream_finished, upstream_failed, configuration_changed, leave_requested, tick>;
+
+/// Send the request to the back end, exactly once.
+struct start_upstream
+{
+    start request;
+};
+
+/// Stop the attempt at the back end.
+struct cancel_upstream
+{
+    attempt_id id;
+};
+
+/// Every action of an endpoint_core. A `decision` is logged, and kept as evidence where its event says so.
+using endpoint_action = std::variant<send_to_peer, start_upstream, cancel_upstream, decision>;
+
+/// The aggregate of queue, slots, limit and ledger of one back end.
+class endpoint_core
+{
+public:
+    explicit endpoint_core(const endpoint_core_options &options);
+
+    /// Takes one event and returns the actions in the order in which they must be carried out.
+    std::vector<endpoint_action> handle(time_point now, const endpoint_event &event);
+
+    /// Returns the load for heartbeats and the admin port.
+    [[nodiscard]] heartbeat status(time_point now) const;
+
+    /// Returns true when no attempt runs and no offer is open.
+    [[nodiscard]] bool isIdle() const;
+
+    [[nodiscard]] std::uint64_t incarnation() const;
+    [[nodiscard]] const work_queue &queue() const;
+
+private:
+    struct open_offer
+    {
+        chosen_work choice;
+        time_point expires;
+    };
+    struct running_attempt
+    {
+        waiting_work work;
+        time_point startedAt;
+        time_point lastEventAt;
+        std::uint32_t events = 0;
+        std::uint32_t resumedFrom = 0;
+        bool streaming = false;
+    };
+
+    void on(const peer_message &event);
+    void on(const peer_lost &event);
+    void on(const upstream_chunk &event);
+    void on(const upstream_finished &event);
+    void on(const upstream_failed &event);
+    void on(const configuration_changed &event);
+    void on(const leave_requested &event);
+    void on(const tick &event);
+
+    void onMessage(peer_id peer, const reserve &request);
+    void onMessage(peer_id peer, const withdraw &request);
+    void onMessage(peer_id peer, const start &request);
+    void onMessage(peer_id peer, const cancel &request);
+    void onMessage(peer_id peer, const fate_query &query);
+    template<typename T>
+    void onMessage(peer_id peer, const T &)
+    {
+        // Other messages are the transport's or flow the other way.
+        (void)peer;
+    }
+
+    void dispatch();
+    void shed();
+    void expireOffers();
+    void failStalled();
+    void sampleSilence();
+    void applyTargets(const configuration_state &state);
+    void refuse(peer_id peer, const attempt_id &id, error_kind kind, duration retryAfter);
+    void end(std::map<attempt_id, running_attempt>::iterator position, const std::string &reason);
+    void note(event_number event, const waiting_work &work, const std::string &reason, double tokens = 0);
+    void send(peer_id peer, message content);
+    [[nodiscard]] bool mayServe(const std::string &className) const;
+    [[nodiscard]] duration waitBudget(const traffic_class &declared) const;
+
+    endpoint_core_options m_options;
+    work_queue m_queue;
+    concurrency_limiter m_limiter;
+    wait_predictor m_predictor;
+    operation_ledger m_ledger;
+    std::map<attempt_id, open_offer> m_offers;
+    std::map<attempt_id, running_attempt> m_running;
+    log_offset m_configuration = 0;
+    bool m_isLeaving = false;
+    time_point m_now {};
+    time_point m_lastSilenceSample {};
+    std::vector<endpoint_action> m_actions;
+};
+
+} // namespace wisteriashunt
--- /dev/null
+++ b/src/endpoint/work_queue.cpp
@@ -0,0 +1,318 @@
+#include "endpoint/work_queue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace wisteriashunt
+{
+
+namespace
+{
+
+/// Answer size that is assumed before any answer of a class has ended, in tokens.
+constexpr double initialMeanTokens = 100;
+/// Weight of the newest answer in the running mean of answer sizes.
+constexpr double meanTokensGain = 0.05;
+/// A class saves up at most this many mean answers of floor credit, so that a long wait never turns into a burst.
+constexpr double floorCreditCapAnswers = 2;
+
+} // namespace
+
+std::string_view toString(start_reason reason)
+{
+    switch (reason) {
+    case start_reason::tier:
+        return "tier";
+    case start_reason::floor:
+        return "floor";
+    case start_reason::fair_share:
+        return "fair_share";
+    }
+    return "tier";
+}
+
+std::vector<waiting_work> work_queue::configure(const configuration_state &state)
+{
+    m_classes = state.classes;
+    m_workspaces = state.workspaces;
+    std::vector<waiting_work> orphans;
+    for (auto it = m_queues.begin(); it != m_queues.end();) {
+        if (m_classes.contains(it->first)) {
+            for (auto &[name, queue] : it->second.workspaces) {
+                queue.weight = weightOf(name);
+            }
+            ++it;
+            continue;
+        }
+        for (const auto &work : workOfClass(it->first)) {
+            orphans.push_back(work);
+            m_index.erase(work.id);
+        }
+        it = m_queues.erase(it);
+    }
+    return orphans;
+}
+
+bool work_queue::add(const waiting_work &work)
+{
+    if (!m_classes.contains(work.className) || m_index.contains(work.id)) {
+        return false;
+    }
+    auto &queue = m_queues[work.className];
+    auto &workspaceQueue = queue.workspaces[work.workspaceName];
+    if (workspaceQueue.waiting.empty()) {
+        workspaceQueue.weight = weightOf(work.workspaceName);
+        activate(queue, workspaceQueue);
+    }
+    // Work that has waited elsewhere keeps its age within its workspace.
+    auto &waiting = workspaceQueue.waiting;
+    auto position =
+        std::upper_bound(waiting.begin(), waiting.end(), work, [](const waiting_work &a, const waiting_work &b) { return a.arrivedAt < b.arrivedAt; });
+    waiting.insert(position, work);
+    ++queue.waitingCount;
+    m_index.emplace(work.id, std::pair {work.className, work.workspaceName});
+    return true;
+}
+
+void work_queue::activate(class_queue &queue, workspace_queue &workspaceQueue)
+{
+    // A workspace that was idle saves up no service: it joins at the level of the least served one.
+    if (queue.waitingCount > 0) {
+        double least = std::numeric_limits<double>::infinity();
+        for (const auto &[name, other] : queue.workspaces) {
+            if (!other.waiting.empty()) {
+                least = std::min(least, other.virtualService);
+            }
+        }
+        workspaceQueue.virtualService = std::max(workspaceQueue.virtualService, least);
+        return;
+    }
+    queue.floorCredit = std::min(queue.floorCredit, 0.0);
+    double leastClass = std::numeric_limits<double>::infinity();
+    for (const auto &[name, other] : m_queues) {
+        if (other.waitingCount > 0) {
+            leastClass = std::min(leastClass, other.virtualService);
+        }
+    }
+    if (std::isfinite(leastClass)) {
+        queue.virtualService = std::max(queue.virtualService, leastClass);
+    }
+}
+
+std::optional<waiting_work> work_queue::remove(const attempt_id &id)
+{
+    auto entry = m_index.find(id);
+    if (entry == m_index.end()) {
+        return std::nullopt;
+    }
+    auto &queue = m_queues.at(entry->second.first);
+    auto &waiting = queue.workspaces.at(entry->second.second).waiting;
+    auto position = std::find_if(waiting.begin(), waiting.end(), [&](const waiting_work &work) { return work.id == id; });
+    waiting_work work = *position;
+    waiting.erase(position);
+    --queue.waitingCount;
+    m_index.erase(entry);
+    return work;
+}
+
+std::optional<chosen_work> work_queue::takeNext()
+{
+    std::string name;
+    if (class_queue *owed = findOwedFloor(name)) {
+        const bool outOfTier = tierOf(name) != highestWaitingTier();
+        return takeFrom(name, *owed, outOfTier);
+    }
+    if (class_queue *highest = findHighestTier(name)) {
+        return takeFrom(name, *highest, false);
+    }
+    return std::nullopt;
+}
+
+work_queue::class_queue *work_queue::findOwedFloor(std::string &name)
+{
+    class_queue *best = nullptr;
+    for (auto &[className, queue] : m_queues) {
+        if (queue.waitingCount == 0 || m_classes.at(className).value.floor <= 0) {
+            continue;
+        }
+        const double owed = queue.floorCredit;
+        if (owed > 0 && (best == nullptr || owed > best->floorCredit)) {
+            best = &queue;
+            name = className;
+        }
+    }
+    return best;
+}
+
+work_queue::class_queue *work_queue::findHighestTier(std::string &name)
+{
+    class_queue *best = nullptr;
+    const int tier = highestWaitingTier();
+    for (auto &[className, queue] : m_queues) {
+        if (queue.waitingCount == 0 || tierOf(className) != tier) {
+            continue;
+        }
+        if (best == nullptr || queue.virtualService < best->virtualService) {
+            best = &queue;
+            name = className;
+        }
+    }
+    return best;
+}
+
+chosen_work work_queue::takeFrom(const std::string &className, class_queue &queue, bool owedFloor)
+{
+    workspace_queue *best = nullptr;
+    std::size_t active = 0;
+    for (auto &[name, candidate] : queue.workspaces) {
+        if (candidate.waiting.empty()) {
+            continue;
+        }
+        ++active;
+        const bool isLessServed = best == nullptr || candidate.virtualService < best->virtualService;
+        const bool isOlder =
+            best != nullptr && candidate.virtualService == best->virtualService && candidate.waiting.front().arrivedAt < best->waiting.front().arrivedAt;
+        if (isLessServed || isOlder) {
+            best = &candidate;
+        }
+    }
+    chosen_work choice {.work = best->waiting.front(), .reason = active > 1 ? start_reason::fair_share : start_reason::tier};
+    if (owedFloor) {
+        choice.reason = start_reason::floor;
+    }
+    remove(choice.work.id);
+    charge(className, choice.work.workspaceName, queue.meanTokens > 0 ? queue.meanTokens : initialMeanTokens);
+    return choice;
+}
+
+void work_queue::charge(const std::string &className, const std::string &workspaceName, double tokens)
+{
+    auto &queue = m_queues[className];
+    auto &workspaceQueue = queue.workspaces[workspaceName];
+    workspaceQueue.virtualService += tokens / workspaceQueue.weight;
+    queue.virtualService += tokens;
+    for (auto &[name, other] : m_queues) {
+        const auto declared = m_classes.find(name);
+        // Credit grows only while work waits, so that an idle class cannot claim a past floor.
+        if (declared == m_classes.end() || (other.waitingCount == 0 && name != className)) {
+            continue;
+        }
+        const double cap = floorCreditCapAnswers * std::max(other.meanTokens, initialMeanTokens);
+        other.floorCredit = std::min(cap, other.floorCredit + declared->second.value.floor * tokens);
+    }
+    queue.floorCredit = std::max(queue.floorCredit - tokens, -floorCreditCapAnswers * std::max(queue.meanTokens, initialMeanTokens));
+}
+
+void work_queue::refund(const chosen_work &choice)
+{
+    const auto queue = m_queues.find(choice.work.className);
+    if (queue != m_queues.end()) {
+        charge(choice.work.className, choice.work.workspaceName, -(queue->second.meanTokens > 0 ? queue->second.meanTokens : initialMeanTokens));
+    }
+}
+
+void work_queue::settle(const std::string &className, const std::string &workspaceName, double servedTokens)
+{
+    const auto found = m_queues.find(className);
+    if (found == m_queues.end()) {
+        return;
+    }
+    class_queue &queue = found->second;
+    const double estimate = queue.meanTokens > 0 ? queue.meanTokens : initialMeanTokens;
+    charge(className, workspaceName, servedTokens - estimate);
+    queue.meanTokens = queue.meanTokens > 0 ? queue.meanTokens + meanTokensGain * (servedTokens - queue.meanTokens) : servedTokens;
+}
+
+bool work_queue::isEmpty() const
+{
+    return m_index.empty();
+}
+
+std::size_t work_queue::size() const
+{
+    return m_index.size();
+}
+
+bool work_queue::contains(const attempt_id &id) const
+{
+    return m_index.contains(id);
+}
+
+std::array<std::uint32_t, tierCount> work_queue::waitingByTier() const
+{
+    std::array<std::uint32_t, tierCount> counts {};
+    for (const auto &[name, queue] : m_queues) {
+        counts.at(static_cast<std::size_t>(tierOf(name) - 1)) += static_cast<std::uint32_t>(queue.waitingCount);
+    }
+    return counts;
+}
+
+std::size_t work_queue::countAheadInClass(const waiting_work &work) const
+{
+    const auto found = m_queues.find(work.className);
+    if (found == m_queues.end()) {
+        return 0;
+    }
+    std::size_t position = 0;
+    const auto own = found->second.workspaces.find(work.workspaceName);
+    if (own != found->second.workspaces.end()) {
+        const auto &waiting = own->second.waiting;
+        position = static_cast<std::size_t>(
+            std::count_if(waiting.begin(), waiting.end(), [&](const waiting_work &other) { return other.arrivedAt < work.arrivedAt; }));
+    }
+    std::size_t ahead = 0;
+    for (const auto &[name, queue] : found->second.workspaces) {
+        ahead += std::min(queue.waiting.size(), position + (name == work.workspaceName ? 0 : 1));
+    }
+    return ahead;
+}
+
+std::vector<waiting_work> work_queue::workOfClass(const std::string &className) const
+{
+    std::vector<waiting_work> all;
+    const auto found = m_queues.find(className);
+    if (found == m_queues.end()) {
+        return all;
+    }
+    for (const auto &[name, queue] : found->second.workspaces) {
+        all.insert(all.end(), queue.waiting.begin(), queue.waiting.end());
+    }
+    return all;
+}
+
+const traffic_class *work_queue::findClass(const std::string &className) const
+{
+    const auto found = m_classes.find(className);
+    return found == m_classes.end() ? nullptr : &found->second.value;
+}
+
+const std::map<std::string, versioned<traffic_class>> &work_queue::classes() const
+{
+    return m_classes;
+}
+
+int work_queue::tierOf(const std::string &className) const
+{
+    const traffic_class *declared = findClass(className);
+    return declared == nullptr ? tierCount : declared->tier;
+}
+
+int work_queue::highestWaitingTier() const
+{
+    int highest = tierCount;
+    for (const auto &[name, queue] : m_queues) {
+        if (queue.waitingCount > 0) {
+            highest = std::min(highest, tierOf(name));
+        }
+    }
+    return highest;
+}
+
+double work_queue::weightOf(const std::string &workspaceName) const
+{
+    const auto found = m_workspaces.find(workspaceName);
+    return found == m_workspaces.end() ? 1.0 : found->second.value.weight;
+}
+
+} // namespace wisteriashunt
--- /dev/null
+++ b/src/endpoint/work_queue.h
@@ -0,0 +1,124 @@
+/// The order of waiting work at one endpoint: tiers first, declared floors, fair sharing between workspaces by service received.
+#pragma once
+
+#include "wisteriashunt/messages.h"
+#include "wisteriashunt/resources.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wisteriashunt
+{
+
+/// Why an attempt was chosen. Recorded as evidence.
+enum class start_reason {
+    /// It was in the highest tier with work waiting.
+    tier,
+    /// Its class was owed its declared floor.
+    floor,
+    /// It was in the highest tier, and its workspace had received the least service there.
+    fair_share,
+};
+
+/// Returns the name of the reason as written to logs and evidence.
+[[nodiscard]] std::string_view toString(start_reason reason);
+
+/// A reservation that waits for a slot.
+struct waiting_work
+{
+    attempt_id id;
+    std::uint64_t peer = 0;
+    std::string className;
+    std::string workspaceName;
+    time_point arrivedAt;
+    /// The target is missed when the work starts after this instant.
+    time_point latestStart;
+    bool idempotent = true;
+
+    auto operator<=>(const waiting_work &) const = default;
+};
+
+/// The choice of the queue.
+struct chosen_work
+{
+    waiting_work work;
+    start_reason reason = start_reason::tier;
+
+    auto operator<=>(const chosen_work &) const = default;
+};
+
+/// Holds waiting work and decides what starts next. Service is counted in tokens: an estimate is charged when work is chosen and settled when it ends.
+class work_queue
+{
+public:
+    /// Replaces the declared classes and workspaces. Work of a class that no longer exists is returned and forgotten.
+    std::vector<waiting_work> configure(const configuration_state &state);
+
+    /// Adds work. Returns false if the class is unknown or the attempt is already waiting.
+    bool add(const waiting_work &work);
+
+    /// Removes an attempt and returns it, or nothing if it does not wait here.
+    std::optional<waiting_work> remove(const attempt_id &id);
+
+    /// Takes the work that must start next, or nothing when no work waits.
+    std::optional<chosen_work> takeNext();
+
+    /// Puts the chosen work's estimate back when it did not start.
+    void refund(const chosen_work &choice);
+
+    /// Corrects the charge of work that ended with the given service in tokens.
+    void settle(const std::string &className, const std::string &workspaceName, double servedTokens);
+
+    [[nodiscard]] bool isEmpty() const;
+    [[nodiscard]] std::size_t size() const;
+    [[nodiscard]] bool contains(const attempt_id &id) const;
+    [[nodiscard]] std::array<std::uint32_t, tierCount> waitingByTier() const;
+
+    /// Returns the number of attempts in the class that fair sharing places before the given one.
+    [[nodiscard]] std::size_t countAheadInClass(const waiting_work &work) const;
+
+    /// Returns all work of a class, oldest first in each workspace.
+    [[nodiscard]] std::vector<waiting_work> workOfClass(const std::string &className) const;
+
+    /// Returns the declared class, or nullptr.
+    [[nodiscard]] const traffic_class *findClass(const std::string &className) const;
+
+    /// Returns the declared classes by name.
+    [[nodiscard]] const std::map<std::string, versioned<traffic_class>> &classes() const;
+
+private:
+    struct workspace_queue
+    {
+        std::deque<waiting_work> waiting;
+        double virtualService = 0;
+        double weight = 1;
+    };
+    struct class_queue
+    {
+        std::map<std::string, workspace_queue> workspaces;
+        std::size_t waitingCount = 0;
+        double virtualService = 0;
+        double floorCredit = 0;
+        double meanTokens = 0;
+    };
+
+    class_queue *findOwedFloor(std::string &name);
+    class_queue *findHighestTier(std::string &name);
+    chosen_work takeFrom(const std::string &className, class_queue &queue, bool owedFloor);
+    void charge(const std::string &className, const std::string &workspaceName, double tokens);
+    [[nodiscard]] int tierOf(const std::string &className) const;
+    [[nodiscard]] int highestWaitingTier() const;
+    [[nodiscard]] double weightOf(const std::string &workspaceName) const;
+    void activate(class_queue &queue, workspace_queue &workspaceQueue);
+
+    std::map<std::string, versioned<traffic_class>> m_classes;
+    std::map<std::string, versioned<workspace>> m_workspaces;
+    std::map<std::string, class_queue> m_queues;
+    std::map<attempt_id, std::pair<std::string, std::string>> m_index;
+};
+
+} // namespace wisteriashunt
--- /dev/null
+++ b/src/evidence/audit.cpp
@@ -0,0 +1,150 @@
+#include "evidence/audit.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace wisteriashunt
+{
+
+namespace
+{
+
+struct chain_state
+{
+    std::uint64_t next = 1;
+    std::string hash;
+    std::set<std::uint64_t> seen;
+    bool hasBegun = false;
+};
+
+using chain_key = std::pair<std::string, std::uint64_t>;
+
+class auditor
+{
+public:
+    explicit auditor(log_offset firstRetained)
+        : m_isComplete(firstRetained <= 1)
+    {
+    }
+
+    void take(const log_record &record)
+    {
+        const auto batch = parseBatch(record.data);
+        if (!batch) {
+            report(audit_finding_kind::unreadable_record, record.offset, "", "the record is no evidence batch");
+            return;
+        }
+        if (hashOf(*batch) != batch->hash) {
+            report(audit_finding_kind::altered_record,
+                   record.offset,
+                   batch->instance,
+                   absl::StrCat("decisions from number ", batch->first, " do not match their hash"));
+        }
+        follow(record.offset, *batch);
+    }
+
+    audit_report finish()
+    {
+        m_report.chains = m_chains.size();
+        std::stable_sort(m_report.decisions.begin(), m_report.decisions.end(), [](const decision &a, const decision &b) { return a.at < b.at; });
+        return std::move(m_report);
+    }
+
+private:
+    void report(audit_finding_kind kind, log_offset offset, const std::string &instance, const std::string &detail)
+    {
+        m_report.findings.push_back({.kind = kind, .offset = offset, .instance = instance, .detail = detail});
+    }
+
+    void follow(log_offset offset, const evidence_batch &batch)
+    {
+        auto &chain = m_chains[{batch.instance, batch.incarnation}];
+        if (chain.seen.contains(batch.first)) {
+            // The answer of an append was lost and the batch was written again.
+            if (batch.hash != chain.hash && batch.first >= chain.next) {
+                report(audit_finding_kind::altered_record, offset, batch.instance, absl::StrCat("two batches begin with number ", batch.first));
+            }
+            return;
+        }
+        checkPosition(offset, batch, chain);
+        chain.seen.insert(batch.first);
+        chain.hasBegun = true;
+        chain.next = std::max(chain.next, batch.first + batch.decisions.size());
+        chain.hash = batch.hash;
+        for (const auto &value : batch.decisions) {
+            checkYield(offset, batch.instance, value);
+            m_report.decisions.push_back(value);
+        }
+    }
+
+    void checkPosition(log_offset offset, const evidence_batch &batch, const chain_state &chain)
+    {
+        const bool mayHaveExpired = !chain.hasBegun && !m_isComplete;
+        if (batch.lostBefore > 0) {
+            report(audit_finding_kind::declared_loss, offset, batch.instance, absl::StrCat(batch.lostBefore, " decisions were lost while the log was down"));
+        }
+        const std::uint64_t expected = chain.next + batch.lostBefore;
+        if (batch.first < expected && chain.hasBegun) {
+            report(audit_finding_kind::reordered_record, offset, batch.instance, absl::StrCat("number ", batch.first, " comes after number ", chain.next - 1));
+        } else if (batch.first > expected && !mayHaveExpired) {
+            report(audit_finding_kind::missing_record, offset, batch.instance, absl::StrCat("numbers ", expected, " to ", batch.first - 1, " are missing"));
+        } else if (batch.previousHash != chain.hash && !mayHaveExpired) {
+            report(audit_finding_kind::altered_record, offset, batch.instance, absl::StrCat("the chain breaks before number ", batch.first));
+        }
+    }
+
+    void checkYield(log_offset offset, const std::string &instance, const decision &value)
+    {
+        if (value.event != event_number::attempt_started || value.reason == "floor") {
+            return;
+        }
+        for (int tier = 1; tier < value.tier; ++tier) {
+            const auto waiting = value.waiting.at(static_cast<std::size_t>(tier - 1));
+            if (waiting > 0) {
+                report(audit_finding_kind::yield_violation,
+                       offset,
+                       instance,
+                       absl::StrCat("request ", toString(value.request), " of tier ", value.tier, " started while ", waiting, " of tier ", tier, " waited"));
+            }
+        }
+    }
+
+    bool m_isComplete;
+    std::map<chain_key, chain_state> m_chains;
+    audit_report m_report;
+};
+
+} // namespace
+
+std::string_view toString(audit_finding_kind kind)
+{
+    switch (kind) {
+    case audit_finding_kind::unreadable_record:
+        return "unreadable_record";
+    case audit_finding_kind::altered_record:
+        return "altered_record";
+    case audit_finding_kind::missing_record:
+        return "missing_record";
+    case audit_finding_kind::reordered_record:
+        return "reordered_record";
+    case audit_finding_kind::declared_loss:
+        return "declared_loss";
+    case audit_finding_kind::yield_violation:
+        return "yield_violation";
+    }
+    return "unreadable_record";
+}
+
+audit_report audit(const std::vector<log_record> &records, log_offset firstRetained)
+{
+    auditor worker(firstRetained);
+    for (const auto &record : records) {
+        worker.take(record);
+    }
+    return worker.finish();
+}
+
+} // namespace wisteriashunt
--- /dev/null
+++ b/src/evidence/decision.cpp
@@ -0,0 +1,123 @@
+#include "evidence/decision.h"
+
+#include <sstream>
+
+namespace wisteriashunt
+{
+
+std::string_view toString(event_number event)
+{
+    switch (event) {
+    case event_number::request_taken:
+        return "request_taken";
+    case event_number::request_answered:
+        return "request_answered";
+    case event_number::request_refused:
+        return "request_refused";
+    case event_number::request_cut:
+        return "request_cut";
+    case event_number::reservations_placed:
+        return "reservations_placed";
+    case event_number::offer_bound:
+        return "offer_bound";
+    case event_number::attempt_retried:
+        return "attempt_retried";
+    case event_number::claim_won:
+        return "claim_won";
+    case event_number::claim_lost:
+        return "claim_lost";
+    case event_number::fate_resolved:
+        return "fate_resolved";
+    case event_number::attempt_queued:
+        return "attempt_queued";
+    case event_number::attempt_offered:
+        return "attempt_offered";
+    case event_number::attempt_started:
+        return "attempt_started";
+    case event_number::attempt_ended:
+        return "attempt_ended";
+    case event_number::attempt_shed:
+        return "attempt_shed";
+    case event_number::attempt_withdrawn:
+        return "attempt_withdrawn";
+    case event_number::attempt_barred:
+        return "attempt_barred";
+    case event_number::limit_changed:
+        return "limit_changed";
+    case event_number::offer_expired:
+        return "offer_expired";
+    case event_number::configuration_applied:
+        return "configuration_applied";
+    case event_number::configuration_rejected:
+        return "configuration_rejected";
+    case event_number::peer_up:
+        return "peer_up";
+    case event_number::peer_down:
+        return "peer_down";
+    case event_number::peer_refused:
+        return "peer_refused";
+    case event_number::endpoint_leaving:
+        return "endpoint_leaving";
+    case event_number::platform_down:
+        return "platform_down";
+    case event_number::platform_up:
+        return "platform_up";
+    case event_number::process_started:
+        return "process_started";
+    case event_number::process_leaving:
+        return "process_leaving";
+    case event_number::process_stopped:
+        return "process_stopped";
+    case event_number::settings_fault:
+        return "settings_fault";
+    }
+    return "unknown";
+}
+
+bool isEvidence(event_number event)
+{
+    switch (event) {
+    case event_number::request_taken:
+    case event_number::request_answered:
+    case event_number::request_refused:
+    case event_number::request_cut:
+    case event_number::attempt_started:
+    case event_number::attempt_ended:
+    case event_number::attempt_shed:
+    case event_number::attempt_barred:
+        return true;
+    default:
+        return false;
+    }
+}
+
+std::string toLogLine(const decision &value)
+{
+    std::ostringstream line;
+    line << "event=" << static_cast<int>(value.event) << " name=" << toString(value.event);
+    if (value.request != request_id {}) {
+        line << " request=" << toString(value.request) << " attempt=" << value.attempt;
+    }
+    const auto field = [&line](std::string_view key, const std::string &text) {
+        if (!text.empty()) {
+            line << ' ' << key << '=' << text;
+        }
+    };
+    field("class", value.className);
+    if (value.tier > 0) {
+        line << " tier=" << value.tier;
+    }
+    field("workspace", value.workspaceName);
+    field("endpoint", value.endpointName);
+    field("reason", value.reason);
+    if (value.queuedAt != time_point {}) {
+        line << " waited_us=" << (value.at - value.queuedAt).count();
+    }
+    line << " configuration=" << value.configuration << " waiting=" << value.waiting[0] << '/' << value.waiting[1] << '/' << value.waiting[2];
+    if (value.tokens > 0) {
+        line << " tokens=" << value.tokens;
+    }
+    return line.str();
+}
+
+} // namespace wisteriashunt
--- /dev/null
+++ b/src/evidence/decision.h
@@ -0,0 +1,79 @@
+/// Decision records: the evidence of who was served, in what order and why.
+#pragma once
+
+#include "wisteriashunt/messages.h"
+#include "wisteriashunt/resources.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+namespace wisteriashunt
+{
+
+/// Numbers of the events that are logged and, where marked in docs/EVENTS.md, recorded as evidence.
+enum class event_number : int {
+    request_taken = 101,
+    request_answered = 102,
+    request_refused = 103,
+    request_cut = 104,
+    reservations_placed = 110,
+    offer_bound = 111,
+    attempt_retried = 112,
+    claim_won = 120,
+    claim_lost = 121,
+    fate_resolved = 122,
+    attempt_queued = 201,
+    attempt_offered = 202,
+    attempt_started = 203,
+    attempt_ended = 204,
+    attempt_shed = 205,
+    attempt_withdrawn = 206,
+    attempt_barred = 207,
+    limit_changed = 210,
+    offer_expired = 211,
+    configuration_applied = 301,
+    configuration_rejected = 302,
+    peer_up = 401,
+    peer_down = 402,
+    peer_refused = 403,
+    endpoint_leaving = 404,
+    platform_down = 501,
+    platform_up = 502,
+    process_started = 601,
+    process_leaving = 602,
+    process_stopped = 603,
+    settings_fault = 604,
+};
+
+/// One decision. Fields that do not apply to an event stay empty.
+struct decision
+{
+    event_number event = event_number::request_taken;
+    time_point at;
+    request_id request;
+    std::uint32_t attempt = 0;
+    std::string className;
+    int tier = 0;
+    std::string workspaceName;
+    std::string endpointName;
+    std::string reason;
+    time_point queuedAt;
+    log_offset configuration = 0;
+    /// Work that waited at the moment of the decision, by tier.
+    std::array<std::uint32_t, tierCount> waiting {};
+    double tokens = 0;
+
+    auto operator<=>(const decision &) const = default;
+};
+
+/// Returns the catalogue name of the event, for example "attempt_started".
+[[nodiscard]] std::string_view toString(event_number event);
+
+/// Says whether the event is kept as evidence in the platform's log, besides being logged.
+[[nodiscard]] bool isEvidence(event_number event);
+
+/// Returns one structured line: key=value pairs in a fixed order, without the fields that do not apply.
+[[nodiscard]] std::string toLogLine(const decision &value);
+
+} // namespace wisteriashunt
--- /dev/null
+++ b/src/membership/endpoint_directory.h
@@ -0,0 +1,81 @@
+/// An entry's view of the endpoint processes: who is connected, alive, leaving, and how loaded.
+#pragma once
+
+#include "membership/core_events.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace wisteriashunt
+{
+
+/// Settings of an endpoint_directory.
+struct directory_options
+{
+    /// An endpoint process that is silent for this long gets no new work.
+    duration suspectAfter = std::chrono::milliseconds(1500);
+    /// First time that a returning endpoint process must be heard before it gets work again. Doubles with each suspicion.
+    duration firstHoldDown = std::chrono::seconds(1);
+    duration longestHoldDown = std::chrono::seconds(30);
+    /// Suspicions older than this no longer lengthen the hold-down.
+    duration suspicionMemory = std::chrono::minutes(5);
+};
+
+/// What is known of one endpoint process.
+struct endpoint_view
+{
+    std::string name;
+    peer_id peer = 0;
+    std::uint64_t incarnation = 0;
+    bool connected = false;
+    bool leaving = false;
+    heartbeat load;
+    time_point lastHeard;
+    /// No new work before this instant, because the process was suspected lately.
+    time_point heldUntil;
+    bool suspected = false;
+    std::vector<time_point> suspicions;
+};
+
+/// Aggregate of all endpoint views. Heartbeats on the connections carry liveness; the platform's list only adds "leaving".
+class endpoint_directory
+{
+public:
+    explicit endpoint_directory(const directory_options &options);
+
+    void connected(time_point now, const std::string &name, peer_id peer, std::uint64_t incarnation);
+
+    /// Returns the name of the endpoint whose connection ended, or nothing if another connection has replaced it.
+    std::optional<std::string> disconnected(time_point now, peer_id peer);
+
+    void heard(time_point now, peer_id peer);
+    void onHeartbeat(time_point now, peer_id peer, const heartbeat &load);
+
+    /// Takes the platform's word on which endpoints leave.
+    void setListedLeaving(const std::set<std::string> &names);
+
+    /// Returns the endpoints that became suspected since the last call.
+    std::vector<std::string> suspectSilent(time_point now);
+
+    /// Returns true if new work may go to the endpoint.
+    [[nodiscard]] bool isUsable(time_point now, const std::string &name) const;
+
+    /// Returns the view, or nullptr if the endpoint never connected.
+    [[nodiscard]] const endpoint_view *find(const std::string &name) const;
+    [[nodiscard]] const endpoint_view *findByPeer(peer_id peer) const;
+    [[nodiscard]] const std::map<std::string, endpoint_view> &all() const;
+
+private:
+    endpoint_view *mutableByPeer(peer_id peer);
+    void suspect(time_point now, endpoint_view &view);
+
+    directory_options m_options;
+    std::map<std::string, endpoint_view> m_views;
+    std::map<peer_id, std::string> m_names;
+    std::set<std::string> m_listedLeaving;
+};
+
+} // namespace wisteriashunt
--- /dev/null
+++ b/src/platform/http_platform.h
@@ -0,0 +1,36 @@
+/// Clients of the platform's log and instance list over HTTP and JSON. The platform's real protocol replaces this file alone.
+#pragma once
+
+#include "platform/http_client.h"
+#include "wisteriashunt/platform.h"
+
+namespace wisteriashunt
+{
+
+/// Log service at a base address such as "http://127.0.0.1:9000".
+class http_log_service final : public log_service
+{
+public:
+    explicit http_log_service(std::string baseUrl);
+    log_offset append(const std::string &stream, const std::vector<std::string> &records) override;
+    log_page read(const std::string &stream, log_offset from, duration wait) override;
+
+private:
+    http_client m_client;
+    std::string m_baseUrl;
+};
+
+/// Instance list at a base address.
+class http_instance_list final : public instance_list
+{
+public:
+    explicit http_instance_list(std::string baseUrl);
+    std::vector<instance_row> read() override;
+    void announce(const instance_row &row) override;
+
+private:
+    http_client m_client;
+    std::string m_baseUrl;
+};
+
+} // namespace wisteriashunt
--- /dev/null
+++ b/src/request/entry_claims.cpp
@@ -0,0 +1,227 @@
+// Operations that must not repeat: claims on idempotency keys and the fate of lost operations.
+#include "request/entry_core.h"
+
+namespace wisteriashunt
+{
+
+namespace
+{
+
+constexpr duration claimRetryAfter = std::chrono::seconds(2);
+constexpr duration inProgressRetryAfter = std::chrono::seconds(1);
+/// Time between two questions about an operation that still runs.
+constexpr duration fateQueryInterval = std::chrono::milliseconds(250);
+
+} // namespace
+
+bool entry_core::isKeyed(const request &current)
+{
+    return !current.routed.idempotent && !current.routed.idempotencyKey.empty();
+}
+
+claim_key entry_core::keyOf(const request &current) const
+{
+    return {.workspaceName = current.routed.workspaceName, .key = current.routed.idempotencyKey};
+}
+
+void entry_core::admitKeyed(request &current)
+{
+    if (!m_claimsAvailable) {
+        finishWithError(current, error_kind::claim_log_unavailable, "the claim log does not answer", claimRetryAfter);
+        return;
+    }
+    const held_claim *held = m_claims.find(keyOf(current));
+    if (held == nullptr) {
+        place(current);
+        return;
+    }
+    if (held->value.fingerprint != current.routed.fingerprint) {
+        finishWithError(current, error_kind::idempotency_key_reused, "the key was used for another request", duration::zero());
+        return;
+    }
+    if (held->outcome) {
+        note(event_number::request_answered, current, "recorded_outcome");
+        m_actions.emplace_back(answer_whole {
+            .caller = current.caller, .httpStatus = held->outcome->httpStatus, .contentType = held->outcome->contentType, .body = held->outcome->body});
+        close(current);
+        return;
+    }
+    inquire(current, *held);
+}
+
+void entry_core::inquire(request &current, const held_claim &held)
+{
+    const request_id owner = held.value.attempt.request;
+    if (owner == attemptOf(current).request) {
+        // An older attempt of this same request holds the key. It never started, so voiding it is truthful, and the caller may come back.
+        m_actions.emplace_back(append_claim {makeVoidRecord(held.value.key, held.offset)});
+        finishWithError(current, error_kind::claim_log_unavailable, "an older claim of this request is being voided", claimRetryAfter);
+        return;
+    }
+    if (owner.entry == m_options.incarnation && m_requests.contains(owner.sequence)) {
+        finishWithError(current, error_kind::operation_in_progress, "the operation is still running", inProgressRetryAfter);
+        return;
+    }
+    const endpoint_view *view = m_directory.find(held.value.endpointName);
+    if (view == nullptr || !view->connected || view->incarnation != held.value.endpointIncarnation) {
+        finishWithError(current, error_kind::outcome_unknown, "the endpoint process that holds the key cannot be asked", duration::zero());
+        return;
+    }
+    current.state = request_state::inquiring;
+    current.inquired = held;
+    current.deadline = m_now + m_options.resolveTimeout;
+    send(view->name, fate_query {.id = held.value.attempt, .endpointIncarnation = held.value.endpointIncarnation});
+}
+
+void entry_core::bindWithClaim(request &current)
+{
+    current.state = request_state::claiming;
+    current.deadline = m_now + m_options.claimTimeout;
+    m_actions.emplace_back(append_claim {makeClaimRecord({.key = keyOf(current),
+                                                          .fingerprint = current.routed.fingerprint,
+                                                          .attempt = attemptOf(current),
+                                                          .endpointName = current.boundEndpoint,
+                                                          .endpointIncarnation = current.boundIncarnation})});
+}
+
+void entry_core::on(const claims_available &event)
+{
+    m_claimsAvailable = event.available;
+}
+
+void entry_core::on(const claims_read &event)
+{
+    m_claims.forgetBefore(event.firstRetained);
+    for (const auto &record : event.records) {
+        const auto tried = m_claims.apply(record);
+        if (tried && tried->attempt.request.entry == m_options.incarnation) {
+            onOwnClaim(record, *tried);
+        }
+    }
+}
+
+void entry_core::onOwnClaim(const log_record &record, const claim &tried)
+{
+    const held_claim *held = m_claims.find(tried.key);
+    const bool hasWon = held != nullptr && held->offset == record.offset;
+    request *current = findCurrent(tried.attempt);
+    if (current == nullptr || current->state != request_state::claiming) {
+        // The request was given up while its claim was on the way. Its start was never sent, and never will be.
+        const bool isStarted = current != nullptr && current->hasStarted;
+        if (hasWon && !isStarted) {
+            m_actions.emplace_back(append_claim {makeVoidRecord(tried.key, record.offset)});
+        }
+        return;
+    }
+    if (!hasWon) {
+        note(event_number::claim_lost, *current, "another_claim_was_first");
+        send(current->boundEndpoint, withdraw {.id = attemptOf(*current), .reason = static_cast<std::uint8_t>(withdraw_reason::refused)});
+        current->boundEndpoint.clear();
+        admitKeyed(*current);
+        return;
+    }
+    current->claimOffset = record.offset;
+    note(event_number::claim_won, *current, "first_in_log");
+    if (current->offerLost) {
+        current->rejectedBy.insert(current->boundEndpoint);
+        voidClaim(*current);
+        moveElsewhere(*current);
+        return;
+    }
+    sendStart(*current);
+}
+
+void entry_core::voidClaim(request &current)
+{
+    if (current.claimOffset != 0) {
+        m_actions.emplace_back(append_claim {makeVoidRecord(keyOf(current), current.claimOffset)});
+        current.claimOffset = 0;
+    }
+}
+
+void entry_core::queryFate(request &current)
+{
+    current.nextQuery = m_now + fateQueryInterval;
+    send(current.boundEndpoint, fate_query {.id = attemptOf(current), .endpointIncarnation = current.boundIncarnation});
+}
+
+void entry_core::onMessage(const endpoint_view &, const fate_answer &reply)
+{
+    request *own = findCurrent(reply.id);
+    if (own != nullptr && own->state == request_state::resolving) {
+        onOwnFate(*own, reply);
+    }
+    for (auto &[id, current] : m_requests) {
+        if (current.state == request_state::inquiring && current.attempt != 0 && current.inquired.value.attempt == reply.id) {
+            onInquiredFate(current, reply);
+        }
+    }
+}
+
+void entry_core::onOwnFate(request &current, const fate_answer &reply)
+{
+    note(event_number::fate_resolved, current, "state_" + std::to_string(reply.state));
+    switch (static_cast<fate>(reply.state)) {
+    case fate::never_started:
+        current.rejectedBy.insert(current.boundEndpoint);
+        current.rejection = error_kind::no_endpoint;
+        voidClaim(current);
+        moveElsewhere(current);
+        return;
+    case fate::running:
+        current.deadline = m_now + m_options.resolveTimeout;
+        return;
+    case fate::ended:
+        complete(current, reply.outcome);
+        return;
+    case fate::failed:
+    case fate::unknown:
+        break;
+    }
+    finishWithError(current, error_kind::outcome_unknown, "the endpoint process cannot tell what became of the operation", duration::zero());
+}
+
+void entry_core::onInquiredFate(request &current, const fate_answer &reply)
+{
+    const held_claim held = current.inquired;
+    switch (static_cast<fate>(reply.state)) {
+    case fate::never_started:
+        // The endpoint process has barred the attempt, so the claim can be voided and this request may claim the key itself.
+        m_actions.emplace_back(append_claim {makeVoidRecord(held.value.key, held.offset)});
+        place(current);
+        return;
+    case fate::running:
+        finishWithError(current, error_kind::operation_in_progress, "the operation is still running", inProgressRetryAfter);
+        return;
+    case fate::ended:
+        m_actions.emplace_back(append_claim {makeOutcomeRecord(
+            held.value.key, held.offset, {.httpStatus = reply.outcome.httpStatus, .contentType = reply.outcome.contentType, .body = reply.outcome.body})});
+        complete(current, reply.outcome);
+        return;
+    case fate::failed:
+    case fate::unknown:
+        break;
+    }
+    finishWithError(current, error_kind::outcome_unknown, "the endpoint process cannot tell what became of the operation", duration::zero());
+}
+
+void entry_core::checkDeadline(request &current)
+{
+    if (current.attempt == 0) {
+        return;
+    }
+    if (current.state == request_state::resolving && m_now >= current.nextQuery) {
+        queryFate(current);
+    }
+    const bool isLate = m_now >= current.deadline;
+    if (current.state == request_state::claiming && isLate) {
+        send(current.boundEndpoint, withdraw {.id = attemptOf(current), .reason = static_cast<std::uint8_t>(withdraw_reason::refused)});
+        finishWithError(current, error_kind::claim_log_unavailable, "the claim did not come back from the log in time", claimRetryAfter);
+    } else if (current.state == request_state::resolving && isLate) {
+        finishWithError(current, error_kind::outcome_unknown, "the endpoint process did not come back in time", duration::zero());
+    } else if (current.state == request_state::inquiring && isLate) {
+        finishWithError(current, error_kind::operation_in_progress, "the endpoint process did not answer in time", inProgressRetryAfter);
+    }
+}
+
+} // namespace wisteriashunt
--- /dev/null
+++ b/src/transport/frame_codec.cpp
@@ -0,0 +1,90 @@
+#include "transport/frame_codec.h"
+
+#include "wisteriashunt/errors.h"
+
+#include <arpa/inet.h>
+#include <cstring>
+#include <functional>
+#include <utility>
+
+namespace wisteriashunt
+{
+
+namespace
+{
+
+constexpr std::size_t headerSize = 4;
+constexpr std::size_t largestContainer = 4096;
+constexpr std::size_t deepestNesting = 16;
+
+template<std::size_t Index = 0>
+message unpackAs(std::size_t number, const msgpack::object &object)
+{
+    if constexpr (Index < std::variant_size_v<message>) {
+        if (number == Index) {
+            return message(std::in_place_index<Index>, object.as<std::variant_alternative_t<Index, message>>());
+        }
+        return unpackAs<Index + 1>(number, object);
+    } else {
+        throw shunt_error(error_kind::malformed_frame, "unknown message number " + std::to_string(number));
+    }
+}
+
+message decodePayload(std::string_view payload)
+{
+    try {
+        const msgpack::unpack_limit limit(largestContainer, largestContainer, largestFrame, largestFrame, 0, deepestNesting);
+        std::size_t consumed = 0;
+        const auto handle = msgpack::unpack(payload.data(), payload.size(), consumed, nullptr, nullptr, limit);
+        const msgpack::object &object = handle.get();
+        constexpr std::uint32_t parts = 2;
+        if (object.type != msgpack::type::ARRAY || object.via.array.size != parts || consumed != payload.size()) {
+            throw shunt_error(error_kind::malformed_frame, "a frame must hold one array of number and message");
+        }
+        return unpackAs(object.via.array.ptr[0].as<std::size_t>(), object.via.array.ptr[1]);
+    } catch (const msgpack::unpack_error &error) {
+        throw shunt_error(error_kind::malformed_frame, error.what());
+    } catch (const std::bad_cast &error) {
+        throw shunt_error(error_kind::malformed_frame, error.what());
+    }
+}
+
+} // namespace
+
+std::string encodeFrame(const message &content)
+{
+    msgpack::sbuffer buffer;
+    const std::uint32_t placeholder = 0;
+    buffer.write(reinterpret_cast<const char *>(&placeholder), headerSize);
+    msgpack::packer<msgpack::sbuffer> packer(buffer);
+    packer.pack_array(2);
+    packer.pack(content.index());
+    std::visit([&](const auto &concrete) { packer.pack(concrete); }, content);
+    const std::uint32_t length = htonl(static_cast<std::uint32_t>(buffer.size() - headerSize));
+    std::memcpy(buffer.data(), &length, headerSize);
+    return {buffer.data(), buffer.size()};
+}
+
+std::vector<message> frame_decoder::feed(std::string_view bytes)
+{
+    m_buffer.append(bytes);
+    std::vector<message> complete;
+    std::size_t position = 0;
+    while (m_buffer.size() - position >= headerSize) {
+        std::uint32_t length = 0;
+        std::memcpy(&length, m_buffer.data() + position, headerSize);
+        length = ntohl(length);
+        if (length > largestFrame) {
+            throw shunt_error(error_kind::malformed_frame, "frame of " + std::to_string(length) + " bytes");
+        }
+        if (m_buffer.size() - position - headerSize < length) {
+            break;
+        }
+        complete.push_back(decodePayload(std::string_view(m_buffer).substr(position + headerSize, length)));
+        position += headerSize + length;
+    }
+    m_buffer.erase(0, position);
+    return complete;
+}
+
+} // namespace wisteriashunt
