Add a load tool that drives the cores on a virtual clock

Cause: the decisions cannot be judged without a load, and the real daemons are too noisy for it. What it does: both cores with engines that batch, open-loop arrivals from a seed, the stated cases and a baseline (random endpoint, first in first out, no shedding) in the same run.

--- /dev/null
+++ b/bench/load/cases.cpp
@@ -0,0 +1,257 @@
+#include "load/cases.h"
+
+#include "load/report.h"
+
+#include <algorithm>
+#include <functional>
+#include <iomanip>
+#include <iostream>
+
+namespace wisteriashunt::load
+{
+
+namespace
+{
+
+/// Tokens a second that one engine yields at its 42 ms target, by its own model.
+double engineCapacity(const standin::engine_model &model)
+{
+    constexpr double target = 0.042;
+    const double running = (target - toSeconds(model.baseGap)) / toSeconds(model.gapPerRunning);
+    return running / target;
+}
+
+constexpr duration warmUp = std::chrono::seconds(20);
+constexpr duration measured = std::chrono::seconds(60);
+/// Time for the last answers to end.
+constexpr duration tail = std::chrono::seconds(60);
+constexpr int engines = 6;
+
+struct run_plan
+{
+    world_options options;
+    std::vector<class_demand> demands;
+    std::function<void(world &)> prepare;
+};
+
+run_figures runOnce(run_plan plan, std::uint64_t seed)
+{
+    plan.options.seed = seed;
+    plan.options.engines = engines;
+    plan.options.configuration = makeConfiguration(engines);
+    world subject(plan.options);
+    subject.submit(drawArrivals(plan.demands, duration::zero(), warmUp + measured, seed));
+    if (plan.prepare) {
+        plan.prepare(subject);
+    }
+    subject.run(warmUp + measured + tail);
+    return collect(subject, plan.options.configuration, warmUp, warmUp + measured);
+}
+
+class case_runner
+{
+public:
+    explicit case_runner(const case_options &options)
+        : m_options(options)
+    {
+    }
+
+    case_outcome run()
+    {
+        const std::vector<std::pair<std::string, void (case_runner::*)()>> all {{"overload", &case_runner::overload},
+                                                                                {"flood", &case_runner::flood},
+                                                                                {"straggler", &case_runner::straggler},
+                                                                                {"crash", &case_runner::crash},
+                                                                                {"goodput", &case_runner::goodput},
+                                                                                {"ways", &case_runner::ways}};
+        for (const auto &[name, member] : all) {
+            const bool isWanted = m_options.only.empty() ? name != "ways" : m_options.only == name;
+            if (isWanted) {
+                m_case = name;
+                (this->*member)();
+            }
+        }
+        return m_outcome;
+    }
+
+private:
+    static double capacity()
+    {
+        return engines * engineCapacity({});
+    }
+
+    run_figures run(const run_plan &plan, const std::string &label, int offset)
+    {
+        const run_figures figures = runOnce(plan, m_options.firstSeed + static_cast<std::uint64_t>(offset));
+        if (!m_options.isQuiet) {
+            printTable("[" + m_case + "] " + label + ", seed " + std::to_string(m_options.firstSeed + static_cast<std::uint64_t>(offset)), figures);
+        }
+        m_outcome.figures[m_case][label].push_back(toJson(figures));
+        return figures;
+    }
+
+    /// Judges the worst of the values over all seeds.
+    void judge(const std::string &what, const std::vector<double> &values, bool isMet, const std::string &target)
+    {
+        const auto [least, most] = std::minmax_element(values.begin(), values.end());
+        std::cout << (isMet ? "MET    " : "MISSED ") << m_case << ": " << what << " " << std::setprecision(4) << std::defaultfloat << *least << " to " << *most
+                  << " over " << values.size() << " seeds, target " << target << "\n";
+        (isMet ? m_outcome.met : m_outcome.missed) += 1;
+    }
+
+    void judgeAtLeast(const std::string &what, const std::vector<double> &values, double bound)
+    {
+        judge(what, values, *std::min_element(values.begin(), values.end()) >= bound, "at least " + std::to_string(bound));
+    }
+
+    void judgeAtMost(const std::string &what, const std::vector<double> &values, double bound)
+    {
+        judge(what, values, *std::max_element(values.begin(), values.end()) <= bound, "at most " + std::to_string(bound));
+    }
+
+    void overload()
+    {
+        // Twice the capacity; everything above a normal load comes from the lowest class.
+        const auto demands = mixedDemand(2 * capacity(), 0.1, 0.15, 0.75);
+        std::vector<double> highest;
+        std::vector<double> gainUrgent;
+        std::vector<double> gainDrafts;
+        std::vector<double> lowestShare;
+        std::vector<double> violations;
+        for (int i = 0; i < m_options.seeds; ++i) {
+            const run_figures ours = run({.options = {}, .demands = demands, .prepare = {}}, "router", i);
+            const run_figures baseline = run({.options = {.isBaseline = true}, .demands = demands, .prepare = {}}, "baseline", i);
+            highest.push_back(ours.classes.at("urgent").attainment());
+            gainUrgent.push_back(ours.classes.at("urgent").attainment() - baseline.classes.at("urgent").attainment());
+            gainDrafts.push_back(ours.classes.at("drafts").attainment() - baseline.classes.at("drafts").attainment());
+            lowestShare.push_back(ours.serviceShare("plans"));
+            violations.push_back(static_cast<double>(ours.counts.orderViolations + ours.counts.refusedBeforeLower));
+        }
+        constexpr double plansFloor = 0.1;
+        judgeAtLeast("attainment of the highest tier", highest, 0.99);
+        judgeAtLeast("attainment of tier 1 above the baseline", gainUrgent, 1e-6);
+        judgeAtLeast("attainment of tier 2 above the baseline", gainDrafts, 1e-6);
+        judgeAtLeast("share of service of the lowest class", lowestShare, plansFloor);
+        judgeAtMost("order violations and refusals before a lower tier", violations, 0);
+    }
+
+    void flood()
+    {
+        // Agency c sends ten times its share into the class of the drafts; the others must not notice.
+        auto alone = mixedDemand(0.7 * capacity(), 0.2, 0.6, 0.2);
+        auto flooded = alone;
+        auto extra = alone[1];
+        extra.workspaces = {"agency-c"};
+        extra.requestsPerSecond = alone[1].requestsPerSecond * 3;
+        flooded.push_back(extra);
+        std::vector<double> kept;
+        for (int i = 0; i < m_options.seeds; ++i) {
+            const run_figures before = run({.options = {}, .demands = alone, .prepare = {}}, "alone", i);
+            const run_figures after = run({.options = {}, .demands = flooded, .prepare = {}}, "flooded", i);
+            for (const char *name : {"drafts/agency-a", "drafts/agency-b"}) {
+                kept.push_back(after.workspaces.at(name).attainment() / before.workspaces.at(name).attainment());
+            }
+        }
+        judgeAtLeast("attainment of the other workspaces, relative to alone", kept, 0.9);
+    }
+
+    void straggler()
+    {
+        // At a load that five engines could carry, one of six becomes ten times slower.
+        const auto demands = mixedDemand(0.75 * capacity(), 0.3, 0.4, 0.3);
+        std::vector<double> lost;
+        for (int i = 0; i < m_options.seeds; ++i) {
+            const run_figures before = run({.options = {}, .demands = demands, .prepare = {}}, "healthy", i);
+            const run_figures after =
+                run({.options = {}, .demands = demands, .prepare = [](world &subject) { subject.at(warmUp, [&subject] { subject.setSlowness(0, 10); }); }},
+                    "straggler",
+                    i);
+            for (const auto &[name, group] : before.classes) {
+                lost.push_back(group.attainment() - after.classes.at(name).attainment());
+            }
+        }
+        constexpr double shareOfCapacity = 1.0 / engines;
+        judgeAtMost("attainment lost in any class", lost, shareOfCapacity + 0.02);
+    }
+
+    void crash()
+    {
+        const auto demands = mixedDemand(0.6 * capacity(), 0.3, 0.4, 0.3);
+        std::vector<double> spliced;
+        std::vector<double> unfinished;
+        std::vector<double> wasted;
+        for (int i = 0; i < m_options.seeds; ++i) {
+            const run_figures figures = run({.options = {},
+                                             .demands = demands,
+                                             .prepare =
+                                                 [](world &subject) {
+                                                     for (int second = 0; second < 50; second += 10) {
+                                                         subject.at(warmUp + std::chrono::seconds(second), [&subject] { subject.crashAnswers(1); });
+                                                     }
+                                                 }},
+                                            "crash",
+                                            i);
+            double open = 0;
+            for (const auto &[name, group] : figures.classes) {
+                open += static_cast<double>(group.open);
+            }
+            spliced.push_back(static_cast<double>(figures.spliced));
+            unfinished.push_back(open);
+            wasted.push_back(figures.wastedShare());
+        }
+        judgeAtMost("spliced or foreign answers", spliced, 0);
+        judgeAtMost("answers neither whole nor ended visibly", unfinished, 0);
+        judgeAtMost("wasted share", wasted, 0.02);
+    }
+
+    void goodput()
+    {
+        std::vector<double> kept;
+        std::vector<double> wasted;
+        for (int i = 0; i < m_options.seeds; ++i) {
+            const run_figures atCapacity = run({.options = {}, .demands = mixedDemand(capacity(), 0.2, 0.3, 0.5), .prepare = {}}, "capacity", i);
+            const run_figures overloaded = run({.options = {}, .demands = mixedDemand(2 * capacity(), 0.2, 0.3, 0.5), .prepare = {}}, "twice", i);
+            run({.options = {.isBaseline = true}, .demands = mixedDemand(2 * capacity(), 0.2, 0.3, 0.5), .prepare = {}}, "baseline", i);
+            kept.push_back(overloaded.goodput() / atCapacity.goodput());
+            wasted.push_back(overloaded.wastedShare());
+        }
+        judgeAtLeast("goodput at twice the capacity, relative to at capacity", kept, 0.95);
+        judgeAtMost("wasted share at twice the capacity", wasted, 0.02);
+    }
+
+    /// The ways that were weighed, one change at a time from the choice.
+    void ways()
+    {
+        const std::vector<std::pair<std::string, world_options>> choices {{"choice: reservation at all endpoints", {}},
+                                                                          {"reservation at 1 (push to the better of two)", {.reservationSample = 1}},
+                                                                          {"reservation at 2", {.reservationSample = 2}},
+                                                                          {"reservation at 3", {.reservationSample = 3}},
+                                                                          {"no prefix affinity", {.useAffinity = false}},
+                                                                          {"fixed limit 24", {.fixedLimit = 24}},
+                                                                          {"fixed limit 64", {.fixedLimit = 64}},
+                                                                          {"no early refusal", {.isSheddingOff = true}},
+                                                                          {"baseline", {.isBaseline = true}}};
+        for (const double load : {0.9, 2.0}) {
+            for (const auto &[label, options] : choices) {
+                for (int i = 0; i < m_options.seeds; ++i) {
+                    run({.options = options, .demands = mixedDemand(load * capacity(), 0.2, 0.3, 0.5), .prepare = {}},
+                        label + " at load " + std::to_string(load).substr(0, 3),
+                        i);
+                }
+            }
+        }
+    }
+
+    case_options m_options;
+    std::string m_case;
+    case_outcome m_outcome;
+};
+
+} // namespace
+
+case_outcome runCases(const case_options &options)
+{
+    return case_runner(options).run();
+}
+
+} // namespace wisteriashunt::load
--- /dev/null
+++ b/bench/load/main.cpp
@@ -0,0 +1,27 @@
+// Load tool on the cores: runs the stated cases beside the baseline and says which targets are met.
+#include "load/cases.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <fstream>
+#include <iostream>
+
+ABSL_FLAG(std::string, only, "", "Name of the one case to run; empty runs all. \"ways\" compares the ways that were weighed.");
+ABSL_FLAG(std::uint64_t, seed, 1, "First seed.");
+ABSL_FLAG(int, seeds, 3, "Number of seeds; the spread over them is printed.");
+ABSL_FLAG(std::string, json, "", "File for all figures as JSON.");
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage("bench_load [--only=CASE] [--seed=N] [--seeds=N] [--json=FILE]");
+    absl::ParseCommandLine(argc, argv);
+    const auto outcome =
+        wisteriashunt::load::runCases({.only = absl::GetFlag(FLAGS_only), .firstSeed = absl::GetFlag(FLAGS_seed), .seeds = absl::GetFlag(FLAGS_seeds)});
+    if (!absl::GetFlag(FLAGS_json).empty()) {
+        std::ofstream(absl::GetFlag(FLAGS_json)) << outcome.figures.dump(2) << '\n';
+    }
+    std::cout << outcome.met << " targets met, " << outcome.missed << " missed\n";
+    return outcome.missed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/bench/load/world.cpp
@@ -0,0 +1,378 @@
+#include "load/world.h"
+
+#include <algorithm>
+
+namespace wisteriashunt::load
+{
+
+namespace
+{
+
+constexpr duration tickInterval = std::chrono::milliseconds(20);
+constexpr duration heartbeatInterval = std::chrono::milliseconds(200);
+constexpr std::uint64_t firstEntryIncarnation = 1000;
+/// A higher-tier request counts as passed over only if it had waited this many hop delays: messages take time.
+constexpr int violationGraceHops = 20;
+
+} // namespace
+
+world::world(const world_options &options)
+    : m_options(options)
+    , m_random(options.seed)
+{
+    for (int i = 0; i < options.engines; ++i) {
+        endpoint_core_options core {.endpointName = "engine-" + std::to_string(i), .incarnation = static_cast<std::uint64_t>(i) + 1};
+        if (options.fixedLimit > 0) {
+            core.limiter.initial = core.limiter.minimum = core.limiter.maximum = options.fixedLimit;
+        }
+        if (options.isSheddingOff) {
+            core.shedPolicy = [](time_point, const work_queue &, const wait_predictor &) { return std::vector<std::pair<waiting_work, duration>> {}; };
+        }
+        m_engines.push_back({.core = std::make_unique<endpoint_core>(core), .model = options.model, .running = {}, .cache = {}, .baselineQueue = {}});
+        if (options.fixedLimit > 0) {
+            for (auto &[name, resource] : m_options.configuration.endpoints) {
+                resource.value.maxConcurrency = options.fixedLimit;
+            }
+        }
+    }
+    for (int i = 0; i < options.entries; ++i) {
+        entry_core_options core {.instanceName = "entry-" + std::to_string(i),
+                                 .incarnation = entryIncarnation(static_cast<std::size_t>(i)),
+                                 .ranker = {.useAffinity = options.useAffinity},
+                                 .reservationSample = options.reservationSample,
+                                 .random = [this](std::uint64_t bound) { return m_random() % bound; }};
+        m_entries.push_back(std::make_unique<entry_core>(core));
+    }
+    if (!options.isBaseline) {
+        connect();
+    }
+}
+
+std::uint64_t world::entryIncarnation(std::size_t entry) const
+{
+    return firstEntryIncarnation + entry;
+}
+
+void world::connect()
+{
+    for (std::size_t i = 0; i < m_engines.size(); ++i) {
+        toEndpoint(i, configuration_changed {m_options.configuration});
+    }
+    for (std::size_t e = 0; e < m_entries.size(); ++e) {
+        toEntry(e, configuration_changed {m_options.configuration});
+        for (std::size_t i = 0; i < m_engines.size(); ++i) {
+            toEntry(e, endpoint_connected {.peer = i + 1, .name = "engine-" + std::to_string(i), .incarnation = i + 1});
+        }
+    }
+    schedule(m_now, [this] { tickAll(); });
+}
+
+void world::schedule(time_point when, std::function<void()> action)
+{
+    m_actions.push({.at = when, .order = m_order++, .run = std::move(action)});
+}
+
+void world::at(duration offset, std::function<void()> action)
+{
+    schedule(epoch + offset, std::move(action));
+}
+
+void world::submit(const std::vector<arrival> &arrivals)
+{
+    for (const auto &request : arrivals) {
+        const std::size_t index = m_results.size();
+        m_results.push_back({.request = request});
+        schedule(request.at, [this, index] { m_options.isBaseline ? baselineArrive(index) : arrive(index); });
+    }
+}
+
+void world::run(duration until)
+{
+    const time_point end = epoch + until;
+    while (!m_actions.empty() && m_actions.top().at <= end) {
+        const timed_action next = m_actions.top();
+        m_actions.pop();
+        m_now = next.at;
+        next.run();
+    }
+    m_now = end;
+}
+
+void world::tickAll()
+{
+    const bool isHeartbeat = (m_now - epoch) % heartbeatInterval == duration::zero();
+    for (std::size_t i = 0; i < m_engines.size(); ++i) {
+        toEndpoint(i, tick {});
+        if (!isHeartbeat) {
+            continue;
+        }
+        const heartbeat load = m_engines[i].core->status(m_now);
+        for (std::size_t e = 0; e < m_entries.size(); ++e) {
+            ++m_counts.messages;
+            schedule(m_now + m_options.networkDelay, [this, e, i, load] { toEntry(e, peer_message {.peer = i + 1, .content = load}); });
+        }
+    }
+    for (std::size_t e = 0; e < m_entries.size(); ++e) {
+        toEntry(e, tick {});
+    }
+    schedule(m_now + tickInterval, [this] { tickAll(); });
+}
+
+void world::arrive(std::size_t index)
+{
+    const arrival &request = m_results[index].request;
+    m_waiting.insert(index);
+    routed_request routed {.workspaceName = request.workspaceName,
+                           .className = request.className,
+                           .method = "POST",
+                           .path = chatPath,
+                           .contentType = "application/json",
+                           .body = {},
+                           .streaming = true,
+                           .prefixHash = request.prefixHash,
+                           .promptTokens = request.promptTokens};
+    toEntry(index % m_entries.size(), caller_arrived {.caller = index + 1, .request = routed});
+}
+
+void world::toEntry(std::size_t entry, const entry_event &event)
+{
+    carryOut(entry, m_entries[entry]->handle(m_now, event));
+}
+
+void world::toEndpoint(std::size_t engineIndex, const endpoint_event &event)
+{
+    carryOut(engineIndex, m_engines[engineIndex].core->handle(m_now, event));
+}
+
+void world::carryOut(std::size_t entry, std::vector<entry_action> actions)
+{
+    for (auto &action : actions) {
+        if (auto *sent = std::get_if<send_to_peer>(&action)) {
+            ++m_counts.messages;
+            const std::size_t target = sent->peer - 1;
+            schedule(m_now + m_options.networkDelay,
+                     [this, target, entry, content = std::move(sent->content)] { toEndpoint(target, peer_message {.peer = entry + 1, .content = content}); });
+        } else if (auto *part = std::get_if<answer_chunk>(&action)) {
+            receive(part->caller - 1, part->data);
+        } else if (auto *end = std::get_if<answer_end>(&action)) {
+            finish(end->caller - 1, request_outcome::whole);
+        } else if (auto *whole = std::get_if<answer_whole>(&action)) {
+            finish(whole->caller - 1, request_outcome::whole);
+        } else if (auto *error = std::get_if<answer_error>(&action)) {
+            m_results[error->caller - 1].retryAfter = error->retryAfter;
+            finish(error->caller - 1, request_outcome::refused);
+        } else if (auto *cut = std::get_if<answer_cut>(&action)) {
+            finish(cut->caller - 1, request_outcome::cut);
+        } else if (auto *made = std::get_if<decision>(&action); made != nullptr && made->event == event_number::offer_bound) {
+            m_waiting.erase(resultOf(made->request));
+        }
+    }
+}
+
+void world::carryOut(std::size_t engineIndex, std::vector<endpoint_action> actions)
+{
+    for (auto &action : actions) {
+        if (auto *sent = std::get_if<send_to_peer>(&action)) {
+            ++m_counts.messages;
+            const std::size_t entry = sent->peer - 1;
+            schedule(m_now + m_options.networkDelay, [this, entry, engineIndex, content = std::move(sent->content)] {
+                toEntry(entry, peer_message {.peer = engineIndex + 1, .content = content});
+            });
+        } else if (auto *started = std::get_if<start_upstream>(&action)) {
+            startStream(engineIndex, started->request);
+        } else if (auto *cancelled = std::get_if<cancel_upstream>(&action)) {
+            m_engines[engineIndex].running.erase(cancelled->id);
+        } else if (auto *made = std::get_if<decision>(&action)) {
+            if (made->event == event_number::attempt_started) {
+                checkStart(engineIndex, *made);
+            } else if (made->event == event_number::attempt_shed) {
+                checkShed(*made);
+            }
+        }
+    }
+}
+
+void world::startStream(std::size_t engineIndex, const start &request)
+{
+    engine &target = m_engines[engineIndex];
+    const std::size_t index = resultOf(request.id.request);
+    ++m_counts.starts;
+    m_counts.resumes += request.resumeFrom > 0 ? 1 : 0;
+    const std::uint32_t uncached = uncachedTokens(target, m_results[index].request);
+    target.running[request.id] = {.result = index, .next = request.resumeFrom, .generation = ++m_generation};
+    scheduleToken(engineIndex, request.id, target.model.prefill(uncached, target.running.size()));
+}
+
+std::uint32_t world::uncachedTokens(engine &target, const arrival &request)
+{
+    auto &cache = target.cache;
+    const auto known = std::find(cache.begin(), cache.end(), request.prefixHash);
+    const bool isHit = known != cache.end();
+    if (isHit) {
+        cache.erase(known);
+        ++m_counts.cacheHits;
+    }
+    cache.push_front(request.prefixHash);
+    if (cache.size() > m_options.cachedPrefixes) {
+        cache.pop_back();
+    }
+    return isHit ? static_cast<std::uint32_t>(request.promptTokens * m_options.cachedShare) : request.promptTokens;
+}
+
+void world::scheduleToken(std::size_t engineIndex, const attempt_id &id, duration wait)
+{
+    const std::uint64_t generation = m_engines[engineIndex].running.at(id).generation;
+    schedule(m_now + wait, [this, engineIndex, id, generation] { emitToken(engineIndex, id, generation); });
+}
+
+void world::emitToken(std::size_t engineIndex, const attempt_id &id, std::uint64_t generation)
+{
+    engine &target = m_engines[engineIndex];
+    const auto position = target.running.find(id);
+    if (position == target.running.end() || position->second.generation != generation) {
+        return;
+    }
+    stream &current = position->second;
+    const std::size_t index = current.result;
+    const std::uint32_t token = current.next++;
+    const bool isLast = current.next >= m_results[index].request.answerTokens;
+    ++m_counts.tokensGenerated;
+    if (m_options.isBaseline) {
+        receive(index, std::to_string(token));
+        if (isLast) {
+            target.running.erase(position);
+            finish(index, request_outcome::whole);
+            baselineStart(engineIndex);
+            return;
+        }
+    } else {
+        if (isLast) {
+            target.running.erase(position);
+        }
+        toEndpoint(engineIndex, upstream_chunk {.id = id, .events = 1, .data = std::to_string(token)});
+        if (isLast) {
+            toEndpoint(engineIndex, upstream_finished {finished {.id = id, .httpStatus = 200, .contentType = "text/event-stream", .body = {}, .events = 0}});
+            return;
+        }
+    }
+    scheduleToken(engineIndex, id, target.model.gap(target.running.size()));
+}
+
+void world::receive(std::size_t index, const std::string &token)
+{
+    request_result &result = m_results[index];
+    if (result.tokens == 0) {
+        result.firstTokenAt = m_now;
+    }
+    result.isSpliced = result.isSpliced || token != std::to_string(result.tokens);
+    ++result.tokens;
+}
+
+void world::finish(std::size_t index, request_outcome outcome)
+{
+    m_waiting.erase(index);
+    m_results[index].outcome = outcome;
+    m_results[index].endedAt = m_now;
+}
+
+void world::checkStart(std::size_t engineIndex, const decision &made)
+{
+    if (made.reason == toString(start_reason::floor)) {
+        ++m_counts.floorStarts;
+        return;
+    }
+    const auto &classes = m_options.configuration.classes;
+    const std::string name = "engine-" + std::to_string(engineIndex);
+    for (const std::size_t index : m_waiting) {
+        const arrival &other = m_results[index].request;
+        const traffic_class &declared = classes.at(other.className).value;
+        const bool isEligible = std::find(declared.endpoints.begin(), declared.endpoints.end(), name) != declared.endpoints.end();
+        if (isEligible && declared.tier < made.tier && m_now - other.at > violationGraceHops * m_options.networkDelay) {
+            ++m_counts.orderViolations;
+            return;
+        }
+    }
+}
+
+void world::checkShed(const decision &made)
+{
+    // Each class with a floor may keep its oldest request; every other lower-tier one must have given way.
+    std::uint32_t lower = 0;
+    std::uint32_t kept = 0;
+    for (const auto &[name, declared] : m_options.configuration.classes) {
+        kept += declared.value.tier > made.tier && declared.value.floor > 0 ? 1 : 0;
+    }
+    for (int tier = made.tier + 1; tier <= tierCount; ++tier) {
+        lower += made.waiting.at(static_cast<std::size_t>(tier - 1));
+    }
+    m_counts.refusedBeforeLower += lower > kept ? 1 : 0;
+}
+
+std::size_t world::resultOf(const request_id &id) const
+{
+    return id.sequence - 1;
+}
+
+void world::setSlowness(int engine, double slowness)
+{
+    m_engines.at(static_cast<std::size_t>(engine)).model.slowness = slowness;
+}
+
+void world::crashAnswers(int engine)
+{
+    const auto index = static_cast<std::size_t>(engine);
+    const auto running = std::exchange(m_engines.at(index).running, {});
+    for (const auto &[id, current] : running) {
+        if (m_options.isBaseline) {
+            finish(current.result, request_outcome::cut);
+        } else {
+            toEndpoint(index, upstream_failed {.id = id, .reached = true, .detail = "connection reset"});
+        }
+    }
+    if (m_options.isBaseline) {
+        baselineStart(index);
+    }
+}
+
+void world::baselineArrive(std::size_t index)
+{
+    const std::size_t chosen = m_random() % m_engines.size();
+    m_engines[chosen].baselineQueue.push_back(index);
+    m_waiting.insert(index);
+    baselineStart(chosen);
+}
+
+void world::baselineStart(std::size_t engineIndex)
+{
+    engine &target = m_engines[engineIndex];
+    while (!target.baselineQueue.empty() && target.running.size() < static_cast<std::size_t>(m_options.baselineLimit)) {
+        const std::size_t index = target.baselineQueue.front();
+        target.baselineQueue.pop_front();
+        m_waiting.erase(index);
+        decision made {.reason = "tier"};
+        made.tier = m_options.configuration.classes.at(m_results[index].request.className).value.tier;
+        checkStart(engineIndex, made);
+        const attempt_id id {.request = {.entry = 1, .sequence = index + 1}, .attempt = 1};
+        ++m_counts.starts;
+        const std::uint32_t uncached = uncachedTokens(target, m_results[index].request);
+        target.running[id] = {.result = index, .next = 0, .generation = ++m_generation};
+        scheduleToken(engineIndex, id, target.model.prefill(uncached, target.running.size()));
+    }
+}
+
+const std::vector<request_result> &world::results() const
+{
+    return m_results;
+}
+
+const world_counts &world::counts() const
+{
+    return m_counts;
+}
+
+int world::limitOf(int engine) const
+{
+    return static_cast<int>(m_engines.at(static_cast<std::size_t>(engine)).core->status(m_now).limit);
+}
+
+} // namespace wisteriashunt::load
