Keep hopeless work in its place until every endpoint gives it up

Change: a refusal is a vote. The work keeps its place; the entry refuses it when every endpoint that holds it has voted. Victims are chosen by an order that is the same at every endpoint, and standing votes go on claiming lower-tier work that comes later.

--- a/src/endpoint/endpoint_core.cpp
+++ b/src/endpoint/endpoint_core.cpp
@@ -368,7 +368,8 @@
     }
     for (const auto &[work, retryAfter] : victims) {
         note(event_number::attempt_shed, work, "target_out_of_reach");
-        m_queue.remove(work.id);
+        // The work keeps its place: if it were dropped here while it waits elsewhere, a lower tier could start ahead of it.
+        m_queue.markHopeless(work.id);
         refuse(work.peer, work.id, error_kind::overloaded, retryAfter);
     }
 }
--- a/src/endpoint/shedding.cpp
+++ b/src/endpoint/shedding.cpp
@@ -1,7 +1,9 @@
 #include "endpoint/shedding.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
+#include <tuple>
 
 namespace wisteriashunt
 {
@@ -15,6 +17,8 @@
 {
     waiting_work work;
     int tier = tierCount;
+    /// Place in the queue of its own workspace.
+    std::size_t position = 0;
     duration predicted {};
     bool isHopeless = false;
 };
@@ -23,22 +27,26 @@
 {
     std::vector<assessed_work> all;
     for (const auto &[name, declared] : queue.classes()) {
+        std::map<std::string, std::size_t> positions;
         for (const auto &work : queue.workOfClass(name)) {
-            const auto predicted = predictor.predict(now, queue, work);
-            const duration wait = predicted.value_or(duration::zero());
-            all.push_back({.work = work, .tier = declared.value.tier, .predicted = wait, .isHopeless = now + wait > work.latestStart});
+            const std::size_t position = positions[work.workspaceName]++;
+            const duration wait = predictor.predict(now, queue, work).value_or(duration::zero());
+            const bool isHopeless = work.isHopeless || now + wait > work.latestStart;
+            all.push_back({.work = work, .tier = declared.value.tier, .position = position, .predicted = wait, .isHopeless = isHopeless});
         }
     }
     return all;
 }
 
-/// Orders victims: lowest tier first, within it the longest predicted wait first.
+/// Orders victims: lowest tier first, within it the work with most of its own workspace's work ahead, so that a flood gives way to the others. Every endpoint
+/// holds the same reservations and so arrives at the same order; a request that gave way at some endpoints only would neither run nor be refused.
 bool givesWayBefore(const assessed_work &a, const assessed_work &b)
 {
-    return a.tier != b.tier ? a.tier > b.tier : a.predicted > b.predicted;
+    return std::tuple(-a.tier, b.position, b.work.arrivedAt) < std::tuple(-b.tier, a.position, a.work.arrivedAt);
 }
 
-/// Returns the oldest work of each class with a floor; the floor serves it in time, so it cannot give way.
+/// Returns the oldest work of each class with a floor; the floor serves it in time, so it cannot give way. The age is the same at every endpoint, so all
+/// endpoints keep the same work and the rest gives way everywhere.
 std::set<attempt_id> protectedByFloor(const work_queue &queue)
 {
     std::set<attempt_id> kept;
@@ -72,20 +80,26 @@
     const auto kept = protectedByFloor(queue);
     std::vector<shed_work> shed;
     std::vector<bool> isGone(all.size(), false);
+    // Work that was refused here before has given way, but it still waits elsewhere, and until it ends lower tiers give way to it.
+    std::transform(all.begin(), all.end(), isGone.begin(), [](const assessed_work &assessed) { return assessed.work.isHopeless; });
     const auto refuse = [&](std::size_t index) {
         isGone[index] = true;
         shed.push_back({.work = all[index].work, .retryAfter = retryAfterOf(all[index])});
     };
     std::size_t nextVictim = 0;
     for (std::size_t i = 0; i < all.size(); ++i) {
-        if (!all[i].isHopeless || isGone[i]) {
+        if (!all[i].isHopeless || (isGone[i] && !all[i].work.isHopeless)) {
             continue;
         }
         while (nextVictim < all.size() && all[nextVictim].tier > all[i].tier && (isGone[nextVictim] || kept.contains(all[nextVictim].work.id))) {
             ++nextVictim;
         }
         const bool lowerGivesWay = nextVictim < all.size() && all[nextVictim].tier > all[i].tier;
-        refuse(lowerGivesWay ? nextVictim : i);
+        if (lowerGivesWay) {
+            refuse(nextVictim);
+        } else if (!isGone[i]) {
+            refuse(i);
+        }
     }
     return shed;
 }
--- a/src/endpoint/shedding.h
+++ b/src/endpoint/shedding.h
@@ -18,7 +18,7 @@
     auto operator<=>(const shed_work &) const = default;
 };
 
-/// Selects the work to refuse at `now`.
+/// Selects the work to refuse at `now`. Work that was marked hopeless before is not selected again and counts as having given way.
 ///
 /// Work that cannot start in time is hopeless. Hopeless work is refused only when no lower-tier work that can give way waits in the queue; otherwise that
 /// lower-tier work is refused in its place. Work that a declared floor will serve in time cannot give way.
--- a/src/endpoint/work_queue.cpp
+++ b/src/endpoint/work_queue.cpp
@@ -116,6 +116,17 @@
     return work;
 }
 
+void work_queue::markHopeless(const attempt_id &id)
+{
+    const auto entry = m_index.find(id);
+    if (entry == m_index.end()) {
+        return;
+    }
+    for (auto &work : m_queues.at(entry->second.first).workspaces.at(entry->second.second).waiting) {
+        work.isHopeless = work.isHopeless || work.id == id;
+    }
+}
+
 std::optional<chosen_work> work_queue::takeNext()
 {
     std::string name;
--- a/src/endpoint/work_queue.h
+++ b/src/endpoint/work_queue.h
@@ -38,6 +38,8 @@
     /// The target is missed when the work starts after this instant.
     time_point latestStart;
     bool idempotent = true;
+    /// This endpoint has told the entry that the work cannot start in time here. The work keeps its place until the entry withdraws it.
+    bool isHopeless = false;
 
     auto operator<=>(const waiting_work &) const = default;
 };
@@ -64,6 +66,9 @@
     /// Removes an attempt and returns it, or nothing if it does not wait here.
     std::optional<waiting_work> remove(const attempt_id &id);
 
+    /// Records that the entry was told that the work is hopeless here.
+    void markHopeless(const attempt_id &id);
+
     /// Takes the work that must start next, or nothing when no work waits.
     std::optional<chosen_work> takeNext();
 
--- a/src/request/entry_core.cpp
+++ b/src/request/entry_core.cpp
@@ -201,6 +201,11 @@
         if (current->rejection != error_kind::overloaded) {
             current->rejection = kind;
         }
+        if (kind == error_kind::overloaded) {
+            current->hopelessAt.insert(from.name);
+            giveUpIfHopeless(*current);
+            return;
+        }
         current->rejectedBy.insert(from.name);
         dropReservation(*current, from.name);
     } else if (current->state == request_state::claiming && isBoundHere) {
--- a/src/request/entry_core.h
+++ b/src/request/entry_core.h
@@ -182,6 +182,8 @@
         std::set<std::string> reservedAt;
         std::vector<std::string> planned;
         std::set<std::string> rejectedBy;
+        /// Endpoints that hold a reservation and have said that it cannot start in time there.
+        std::set<std::string> hopelessAt;
         error_kind rejection = error_kind::no_endpoint;
         duration retryAfter = duration::max();
         std::string boundEndpoint;
@@ -230,6 +232,8 @@
     void spread(request &current);
     void extendReservations(const std::string &endpointName);
     void dropReservation(request &current, const std::string &endpointName);
+    /// Gives up a waiting request that no endpoint can start, or start in time.
+    void giveUpIfHopeless(request &current);
     void withdrawAll(request &current, withdraw_reason reason, const std::string &except = {});
     [[nodiscard]] std::vector<rank_candidate> candidatesFor(const request &current) const;
     [[nodiscard]] bool mayServe(const request &current, const std::string &endpointName) const;
--- a/src/request/entry_placement.cpp
+++ b/src/request/entry_placement.cpp
@@ -45,6 +45,7 @@
     current.state = request_state::waiting;
     current.boundEndpoint.clear();
     current.reservedAt.clear();
+    current.hopelessAt.clear();
     current.planned = m_ranker.rank(candidatesFor(current), current.routed.prefixHash);
     if (current.planned.empty()) {
         giveUp(current);
@@ -101,11 +102,20 @@
 
 void entry_core::dropReservation(request &current, const std::string &endpointName)
 {
-    if (current.reservedAt.erase(endpointName) == 0 || !current.reservedAt.empty()) {
-        return;
+    if (current.reservedAt.erase(endpointName) > 0) {
+        giveUpIfHopeless(current);
+    }
+}
+
+void entry_core::giveUpIfHopeless(request &current)
+{
+    const auto isHopeless = [&current] {
+        return std::includes(current.hopelessAt.begin(), current.hopelessAt.end(), current.reservedAt.begin(), current.reservedAt.end());
+    };
+    if (isHopeless()) {
+        spread(current);
     }
-    spread(current);
-    if (current.reservedAt.empty()) {
+    if (isHopeless()) {
         giveUp(current);
     }
 }
