--- a/bench/load/cases.cpp
+++ b/bench/load/cases.cpp
@@ -58,12 +58,12 @@
 
     case_outcome run()
     {
-        const std::vector<std::pair<std::string, void (case_runner::*)()>> all {{"overload", &case_runner::overload},
-                                                                                {"flood", &case_runner::flood},
-                                                                                {"straggler", &case_runner::straggler},
-                                                                                {"crash", &case_runner::crash},
-                                                                                {"goodput", &case_runner::goodput},
-                                                                                {"ways", &case_runner::ways}};
+        const std::vector<std::pair<std::string, void (case_runner::*)()>> all{{"overload", &case_runner::overload},
+                                                                               {"flood", &case_runner::flood},
+                                                                               {"straggler", &case_runner::straggler},
+                                                                               {"crash", &case_runner::crash},
+                                                                               {"goodput", &case_runner::goodput},
+                                                                               {"ways", &case_runner::ways}};
         for (const auto &[name, member] : all) {
             const bool isWanted = m_options.only.empty() ? name != "ways" : m_options.only == name;
             if (isWanted) {
@@ -222,15 +222,15 @@
     /// The ways that were weighed, one change at a time from the choice.
     void ways()
     {
-        const std::vector<std::pair<std::string, world_options>> choices {{"choice: reservation at all endpoints", {}},
-                                                                          {"reservation at 1 (push to the better of two)", {.reservationSample = 1}},
-                                                                          {"reservation at 2", {.reservationSample = 2}},
-                                                                          {"reservation at 3", {.reservationSample = 3}},
-                                                                          {"no prefix affinity", {.useAffinity = false}},
-                                                                          {"fixed limit 24", {.fixedLimit = 24}},
-                                                                          {"fixed limit 64", {.fixedLimit = 64}},
-                                                                          {"no early refusal", {.isSheddingOff = true}},
-                                                                          {"baseline", {.isBaseline = true}}};
+        const std::vector<std::pair<std::string, world_options>> choices{{"choice: reservation at all endpoints", {}},
+                                                                         {"reservation at 1 (push to the better of two)", {.reservationSample = 1}},
+                                                                         {"reservation at 2", {.reservationSample = 2}},
+                                                                         {"reservation at 3", {.reservationSample = 3}},
+                                                                         {"no prefix affinity", {.useAffinity = false}},
+                                                                         {"fixed limit 24", {.fixedLimit = 24}},
+                                                                         {"fixed limit 64", {.fixedLimit = 64}},
+                                                                         {"no early refusal", {.isSheddingOff = true}},
+                                                                         {"baseline", {.isBaseline = true}}};
         for (const double load : {0.9, 2.0}) {
             for (const auto &[label, options] : choices) {
                 for (int i = 0; i < m_options.seeds; ++i) {
--- a/bench/load/report.cpp
+++ b/bench/load/report.cpp
@@ -94,16 +94,16 @@
 
 nlohmann::json toJson(const run_figures &figures)
 {
-    nlohmann::json page {{"goodputTokensPerSecond", figures.goodput()},
-                         {"wastedShare", figures.wastedShare()},
-                         {"orderViolations", figures.counts.orderViolations},
-                         {"refusedBeforeLower", figures.counts.refusedBeforeLower},
-                         {"spliced", figures.spliced},
-                         {"messages", figures.counts.messages},
-                         {"starts", figures.counts.starts},
-                         {"resumes", figures.counts.resumes},
-                         {"cacheHits", figures.counts.cacheHits},
-                         {"floorStarts", figures.counts.floorStarts}};
+    nlohmann::json page{{"goodputTokensPerSecond", figures.goodput()},
+                        {"wastedShare", figures.wastedShare()},
+                        {"orderViolations", figures.counts.orderViolations},
+                        {"refusedBeforeLower", figures.counts.refusedBeforeLower},
+                        {"spliced", figures.spliced},
+                        {"messages", figures.counts.messages},
+                        {"starts", figures.counts.starts},
+                        {"resumes", figures.counts.resumes},
+                        {"cacheHits", figures.counts.cacheHits},
+                        {"floorStarts", figures.counts.floorStarts}};
     for (const auto &[name, group] : figures.classes) {
         page["classes"][name] = toJson(group);
     }
--- a/bench/load/workload.h
+++ b/bench/load/workload.h
@@ -36,7 +36,7 @@
 };
 
 /// Time that the virtual clock shows at the start.
-constexpr time_point epoch {std::chrono::seconds(1700000000)};
+constexpr time_point epoch{std::chrono::seconds(1700000000)};
 
 /// Draws Poisson arrivals with geometric answer lengths over [from, from + length).
 [[nodiscard]] std::vector<arrival> drawArrivals(const std::vector<class_demand> &demands, duration from, duration length, std::uint64_t seed);
--- a/bench/load/world.cpp
+++ b/bench/load/world.cpp
@@ -23,12 +23,12 @@
     , m_random(options.seed)
 {
     for (int i = 0; i < options.engines; ++i) {
-        endpoint_core_options core {.endpointName = "engine-" + std::to_string(i), .incarnation = static_cast<std::uint64_t>(i) + 1};
+        endpoint_core_options core{.endpointName = "engine-" + std::to_string(i), .incarnation = static_cast<std::uint64_t>(i) + 1};
         if (options.fixedLimit > 0) {
             core.limiter.initial = core.limiter.minimum = core.limiter.maximum = options.fixedLimit;
         }
         if (options.isSheddingOff) {
-            core.shedPolicy = [](time_point, const work_queue &, const wait_predictor &) { return std::vector<std::pair<waiting_work, duration>> {}; };
+            core.shedPolicy = [](time_point, const work_queue &, const wait_predictor &) { return std::vector<std::pair<waiting_work, duration>>{}; };
         }
         m_engines.push_back({.core = std::make_unique<endpoint_core>(core), .model = options.model, .running = {}, .cache = {}, .baselineQueue = {}});
         if (options.fixedLimit > 0) {
@@ -38,11 +38,11 @@
         }
     }
     for (int i = 0; i < options.entries; ++i) {
-        entry_core_options core {.instanceName = "entry-" + std::to_string(i),
-                                 .incarnation = entryIncarnation(static_cast<std::size_t>(i)),
-                                 .ranker = {.useAffinity = options.useAffinity},
-                                 .reservationSample = options.reservationSample,
-                                 .random = [this](std::uint64_t bound) { return m_random() % bound; }};
+        entry_core_options core{.instanceName = "entry-" + std::to_string(i),
+                                .incarnation = entryIncarnation(static_cast<std::size_t>(i)),
+                                .ranker = {.useAffinity = options.useAffinity},
+                                .reservationSample = options.reservationSample,
+                                .random = [this](std::uint64_t bound) { return m_random() % bound; }};
         m_entries.push_back(std::make_unique<entry_core>(core));
     }
     if (!options.isBaseline) {
@@ -58,12 +58,12 @@
 void world::connect()
 {
     for (std::size_t i = 0; i < m_engines.size(); ++i) {
-        toEndpoint(i, configuration_changed {m_options.configuration});
+        toEndpoint(i, configuration_changed{m_options.configuration});
     }
     for (std::size_t e = 0; e < m_entries.size(); ++e) {
-        toEntry(e, configuration_changed {m_options.configuration});
+        toEntry(e, configuration_changed{m_options.configuration});
         for (std::size_t i = 0; i < m_engines.size(); ++i) {
-            toEntry(e, endpoint_connected {.peer = i + 1, .name = "engine-" + std::to_string(i), .incarnation = i + 1});
+            toEntry(e, endpoint_connected{.peer = i + 1, .name = "engine-" + std::to_string(i), .incarnation = i + 1});
         }
     }
     schedule(m_now, [this] { tickAll(); });
@@ -104,18 +104,18 @@
 {
     const bool isHeartbeat = (m_now - epoch) % heartbeatInterval == duration::zero();
     for (std::size_t i = 0; i < m_engines.size(); ++i) {
-        toEndpoint(i, tick {});
+        toEndpoint(i, tick{});
         if (!isHeartbeat) {
             continue;
         }
         const heartbeat load = m_engines[i].core->status(m_now);
         for (std::size_t e = 0; e < m_entries.size(); ++e) {
             ++m_counts.messages;
-            schedule(m_now + m_options.networkDelay, [this, e, i, load] { toEntry(e, peer_message {.peer = i + 1, .content = load}); });
+            schedule(m_now + m_options.networkDelay, [this, e, i, load] { toEntry(e, peer_message{.peer = i + 1, .content = load}); });
         }
     }
     for (std::size_t e = 0; e < m_entries.size(); ++e) {
-        toEntry(e, tick {});
+        toEntry(e, tick{});
     }
     schedule(m_now + tickInterval, [this] { tickAll(); });
 }
@@ -124,16 +124,16 @@
 {
     const arrival &request = m_results[index].request;
     m_waiting.insert(index);
-    routed_request routed {.workspaceName = request.workspaceName,
-                           .className = request.className,
-                           .method = "POST",
-                           .path = chatPath,
-                           .contentType = "application/json",
-                           .body = {},
-                           .streaming = true,
-                           .prefixHash = request.prefixHash,
-                           .promptTokens = request.promptTokens};
-    toEntry(index % m_entries.size(), caller_arrived {.caller = index + 1, .request = routed});
+    routed_request routed{.workspaceName = request.workspaceName,
+                          .className = request.className,
+                          .method = "POST",
+                          .path = chatPath,
+                          .contentType = "application/json",
+                          .body = {},
+                          .streaming = true,
+                          .prefixHash = request.prefixHash,
+                          .promptTokens = request.promptTokens};
+    toEntry(index % m_entries.size(), caller_arrived{.caller = index + 1, .request = routed});
 }
 
 void world::toEntry(std::size_t entry, const entry_event &event)
@@ -153,7 +153,7 @@
             ++m_counts.messages;
             const std::size_t target = sent->peer - 1;
             schedule(m_now + m_options.networkDelay,
-                     [this, target, entry, content = std::move(sent->content)] { toEndpoint(target, peer_message {.peer = entry + 1, .content = content}); });
+                     [this, target, entry, content = std::move(sent->content)] { toEndpoint(target, peer_message{.peer = entry + 1, .content = content}); });
         } else if (auto *part = std::get_if<answer_chunk>(&action)) {
             receive(part->caller - 1, part->data);
         } else if (auto *end = std::get_if<answer_end>(&action)) {
@@ -179,7 +179,7 @@
             ++m_counts.messages;
             const std::size_t entry = sent->peer - 1;
             schedule(m_now + m_options.networkDelay, [this, entry, engineIndex, content = std::move(sent->content)] {
-                toEntry(entry, peer_message {.peer = engineIndex + 1, .content = content});
+                toEntry(entry, peer_message{.peer = engineIndex + 1, .content = content});
             });
         } else if (auto *started = std::get_if<start_upstream>(&action)) {
             startStream(engineIndex, started->request);
@@ -250,9 +250,9 @@
         if (isLast) {
             target.running.erase(position);
         }
-        toEndpoint(engineIndex, upstream_chunk {.id = id, .events = 1, .data = std::to_string(token)});
+        toEndpoint(engineIndex, upstream_chunk{.id = id, .events = 1, .data = std::to_string(token)});
         if (isLast) {
-            toEndpoint(engineIndex, upstream_finished {finished {.id = id, .httpStatus = 200, .contentType = "text/event-stream", .body = {}, .events = 0}});
+            toEndpoint(engineIndex, upstream_finished{finished{.id = id, .httpStatus = 200, .contentType = "text/event-stream", .body = {}, .events = 0}});
             return;
         }
     }
@@ -330,7 +330,7 @@
         if (m_options.isBaseline) {
             finish(current.result, request_outcome::cut);
         } else {
-            toEndpoint(index, upstream_failed {.id = id, .reached = true, .detail = "connection reset"});
+            toEndpoint(index, upstream_failed{.id = id, .reached = true, .detail = "connection reset"});
         }
     }
     if (m_options.isBaseline) {
@@ -353,10 +353,10 @@
         const std::size_t index = target.baselineQueue.front();
         target.baselineQueue.pop_front();
         m_waiting.erase(index);
-        decision made {.reason = "tier"};
+        decision made{.reason = "tier"};
         made.tier = m_options.configuration.classes.at(m_results[index].request.className).value.tier;
         checkStart(engineIndex, made);
-        const attempt_id id {.request = {.entry = 1, .sequence = index + 1}, .attempt = 1};
+        const attempt_id id{.request = {.entry = 1, .sequence = index + 1}, .attempt = 1};
         ++m_counts.starts;
         const std::uint32_t uncached = uncachedTokens(target, m_results[index].request);
         target.running[id] = {.result = index, .next = 0, .generation = ++m_generation};
--- a/bench/load/world.h
+++ b/bench/load/world.h
@@ -57,7 +57,7 @@
     time_point endedAt;
     std::uint32_t tokens = 0;
     bool isSpliced = false;
-    duration retryAfter {};
+    duration retryAfter{};
 };
 
 /// Counts over the whole run.
--- a/bench/standins/booking.cpp
+++ b/bench/standins/booking.cpp
@@ -69,7 +69,7 @@
         if (losesAnswer) {
             return {.breakOff = true};
         }
-        return {.body = json {{"operation", operation}, {"confirmed", true}, {"run", count}}.dump()};
+        return {.body = json{{"operation", operation}, {"confirmed", true}, {"run", count}}.dump()};
     }
 
     absl::Mutex m_mutex;
--- a/bench/standins/engine.cpp
+++ b/bench/standins/engine.cpp
@@ -58,7 +58,7 @@
         }
         if (request.path == "/stats") {
             const absl::MutexLock lock(&m_mutex);
-            return {.body = json {{"started", m_started}, {"finished", m_finished}, {"running", m_running}, {"tokens", m_tokens}}.dump()};
+            return {.body = json{{"started", m_started}, {"finished", m_finished}, {"running", m_running}, {"tokens", m_tokens}}.dump()};
         }
         return complete(request);
     }
@@ -132,7 +132,7 @@
 
     void pause(const answer &current)
     {
-        wisteriashunt::duration wait {};
+        wisteriashunt::duration wait{};
         {
             const absl::MutexLock lock(&m_mutex);
             wait = current.isFirst ? m_model.prefill(current.promptTokens, m_running) : m_model.gap(m_running);
@@ -180,7 +180,7 @@
             const absl::MutexLock lock(&m_mutex);
             ++m_tokens;
         }
-        const json event {{"id", current.id}, {"object", "chat.completion.chunk"}, {"choices", {{{"index", 0}, {"delta", {{"content", text}}}}}}};
+        const json event{{"id", current.id}, {"object", "chat.completion.chunk"}, {"choices", {{{"index", 0}, {"delta", {{"content", text}}}}}}};
         return "data: " + event.dump() + "\n\n";
     }
 
@@ -197,7 +197,7 @@
             text += tokenText(current.tag, current.next++);
         }
         close(current, true);
-        const json body {
+        const json body{
             {"id", current.id}, {"object", "chat.completion"}, {"choices", {{{"index", 0}, {"message", {{"role", "assistant"}, {"content", text}}}}}}};
         return {.body = body.dump()};
     }
--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -107,7 +107,7 @@
             --m_loseAnswers;
             return {.breakOff = true};
         }
-        return {.body = json {{"offset", offset}}.dump()};
+        return {.body = json{{"offset", offset}}.dump()};
     }
 
     server_reply read(const std::string &name, const server_request &request)
@@ -132,7 +132,7 @@
         }
         const auto &stream = m_streams[name];
         const std::uint64_t next = stream.first + stream.records.size();
-        json page {{"first", stream.first}, {"next", next}, {"records", json::array()}};
+        json page{{"first", stream.first}, {"next", next}, {"records", json::array()}};
         for (std::uint64_t offset = std::max(from, stream.first); offset < next && page["records"].size() < largestPage; ++offset) {
             page["records"].push_back({{"offset", offset}, {"data", stream.records[offset - stream.first]}});
         }
@@ -170,7 +170,7 @@
                 }
             }
         }
-        return {.body = json {{"instances", m_listed}}.dump()};
+        return {.body = json{{"instances", m_listed}}.dump()};
     }
 
     absl::Mutex m_appendMutex;
--- a/include/wisteriashunt/messages.h
+++ b/include/wisteriashunt/messages.h
@@ -83,7 +83,7 @@
     bool leaving = false;
     std::uint32_t running = 0;
     std::uint32_t limit = 0;
-    std::array<std::uint32_t, tierCount> waiting {};
+    std::array<std::uint32_t, tierCount> waiting{};
 
     auto operator<=>(const heartbeat &) const = default;
     MSGPACK_DEFINE(configuration, leaving, running, limit, waiting)
--- a/src/configuration/declarations.cpp
+++ b/src/configuration/declarations.cpp
@@ -21,15 +21,15 @@
 traffic_class parseClass(const std::string &name, yaml_fields &spec)
 {
     const traffic_class defaults;
-    traffic_class parsed {.name = name,
-                          .tier = static_cast<int>(spec.readInteger("tier", 0, 1, tierCount)),
-                          .firstToken = spec.readMilliseconds("firstTokenMs", defaults.firstToken, 1, longestTargetMs),
-                          .betweenTokens = spec.readMilliseconds("betweenTokensMs", defaults.betweenTokens, 1, longestTargetMs),
-                          .floor = spec.readNumber("floor", defaults.floor, 0, largestFloorSum),
-                          .endpoints = spec.readStrings("endpoints"),
-                          .nonIdempotent = spec.readStrings("nonIdempotent"),
-                          .models = spec.readStrings("models"),
-                          .services = spec.readStrings("services")};
+    traffic_class parsed{.name = name,
+                         .tier = static_cast<int>(spec.readInteger("tier", 0, 1, tierCount)),
+                         .firstToken = spec.readMilliseconds("firstTokenMs", defaults.firstToken, 1, longestTargetMs),
+                         .betweenTokens = spec.readMilliseconds("betweenTokensMs", defaults.betweenTokens, 1, longestTargetMs),
+                         .floor = spec.readNumber("floor", defaults.floor, 0, largestFloorSum),
+                         .endpoints = spec.readStrings("endpoints"),
+                         .nonIdempotent = spec.readStrings("nonIdempotent"),
+                         .models = spec.readStrings("models"),
+                         .services = spec.readStrings("services")};
     if (parsed.tier == 0) {
         spec.report("tier", "nothing", absl::StrCat("a whole number from 1 (highest) to ", tierCount));
     }
@@ -41,10 +41,10 @@
 
 workspace parseWorkspace(const std::string &name, yaml_fields &spec)
 {
-    workspace parsed {.name = name,
-                      .keyHashes = spec.readStrings("keyHashes"),
-                      .classes = spec.readStrings("classes"),
-                      .weight = spec.readNumber("weight", 1, 0.001, largestWeight)};
+    workspace parsed{.name = name,
+                     .keyHashes = spec.readStrings("keyHashes"),
+                     .classes = spec.readStrings("classes"),
+                     .weight = spec.readNumber("weight", 1, 0.001, largestWeight)};
     for (const auto &hash : parsed.keyHashes) {
         if (hash.size() != sha256HexLength || hash.find_first_not_of("0123456789abcdef") != std::string::npos) {
             spec.report("keyHashes", absl::StrCat("\"", hash, "\""), "the lower-case hexadecimal SHA-256 of a key");
--- a/src/configuration/reducer.cpp
+++ b/src/configuration/reducer.cpp
@@ -20,13 +20,13 @@
 resource resourceFromJson(const std::string &kind, const std::string &name, const json &spec, bool isDelete)
 {
     if (kind == "class") {
-        return isDelete ? traffic_class {.name = name} : classFromJson(name, spec);
+        return isDelete ? traffic_class{.name = name} : classFromJson(name, spec);
     }
     if (kind == "workspace") {
-        return isDelete ? workspace {.name = name} : workspaceFromJson(name, spec);
+        return isDelete ? workspace{.name = name} : workspaceFromJson(name, spec);
     }
     if (kind == "endpoint") {
-        return isDelete ? endpoint {.name = name} : endpointFromJson(name, spec);
+        return isDelete ? endpoint{.name = name} : endpointFromJson(name, spec);
     }
     throw json::other_error::create(501, "unknown kind " + kind, nullptr);
 }
@@ -56,14 +56,14 @@
 
 std::string makeChangeRecord(const configuration_change &change)
 {
-    json record {{"type", "change"},
-                 {"changeId", change.changeId},
-                 {"author", change.author},
-                 {"at", change.at},
-                 {"base", change.base},
-                 {"op", change.isDelete ? "delete" : "put"},
-                 {"kind", kindOf(change.value)},
-                 {"name", nameOf(change.value)}};
+    json record{{"type", "change"},
+                {"changeId", change.changeId},
+                {"author", change.author},
+                {"at", change.at},
+                {"base", change.base},
+                {"op", change.isDelete ? "delete" : "put"},
+                {"kind", kindOf(change.value)},
+                {"name", nameOf(change.value)}};
     if (!change.isDelete) {
         record["spec"] = std::visit([](const auto &concrete) { return toJson(concrete); }, change.value);
     }
@@ -75,6 +75,7 @@
     if (m_state.offset + 1 < page.firstRetained && m_next < page.firstRetained) {
         m_hasGap = true;
         m_buffered.clear();
+        m_firstAfterGap = page.firstRetained;
         m_next = page.firstRetained;
     }
     for (const auto &record : page.records) {
@@ -107,9 +108,8 @@
         m_buffered.push_back(record);
         return;
     }
-    const log_offset coveredUpTo = parsed->contains("state") ? (*parsed)["state"].value("offset", log_offset {0}) : 0;
-    const log_offset firstBuffered = m_buffered.empty() ? record.offset : m_buffered.front().offset;
-    if (coveredUpTo + 1 < firstBuffered || !adoptSnapshot((*parsed)["state"].dump())) {
+    const log_offset coveredUpTo = parsed->contains("state") ? (*parsed)["state"].value("offset", log_offset{0}) : 0;
+    if (coveredUpTo + 1 < m_firstAfterGap || !adoptSnapshot((*parsed)["state"].dump())) {
         return;
     }
     // Changes that were appended while the snapshot was on its way come before it in the log.
@@ -160,7 +160,7 @@
 
 std::string configuration_reducer::makeSnapshotRecord() const
 {
-    return json {{"type", "snapshot"}, {"state", json::parse(makeSnapshot())}}.dump();
+    return json{{"type", "snapshot"}, {"state", json::parse(makeSnapshot())}}.dump();
 }
 
 void configuration_reducer::applyChange(const log_record &record, const std::string &text)
--- a/src/configuration/reducer.h
+++ b/src/configuration/reducer.h
@@ -83,6 +83,8 @@
     log_offset m_lastSnapshotAt = 0;
     log_offset m_next = 1;
     bool m_hasGap = false;
+    /// First offset that was read after the gap; a snapshot closes the gap if it covers everything before.
+    log_offset m_firstAfterGap = 0;
 };
 
 } // namespace wisteriashunt
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -25,12 +25,12 @@
 using resource_row = versioned<resource>;
 
 constexpr const char *version = "0.1.0";
-const std::vector<std::string> kinds {"class", "workspace", "endpoint"};
+const std::vector<std::string> kinds{"class", "workspace", "endpoint"};
 
 /// Accepts plurals as well.
 std::string singular(const std::string &kind)
 {
-    static const std::map<std::string, std::string> plurals {{"classes", "class"}, {"workspaces", "workspace"}, {"endpoints", "endpoint"}};
+    static const std::map<std::string, std::string> plurals{{"classes", "class"}, {"workspaces", "workspace"}, {"endpoints", "endpoint"}};
     const auto found = plurals.find(kind);
     return found == plurals.end() ? kind : found->second;
 }
@@ -96,7 +96,7 @@
         }
         return;
     }
-    std::vector<std::vector<std::string>> table {{"KIND", "NAME", "VERSION", "AUTHOR", "CHANGED"}};
+    std::vector<std::vector<std::string>> table{{"KIND", "NAME", "VERSION", "AUTHOR", "CHANGED"}};
     for (const auto &row : rows) {
         table.push_back({kindOf(row.value), nameOf(row.value), absl::StrCat(row.version), row.author, row.changedAt});
     }
@@ -117,7 +117,7 @@
 
 exit_code waitFor(operator_client &client, log_offset offset)
 {
-    std::size_t lastMissing = ~std::size_t {0};
+    std::size_t lastMissing = ~std::size_t{0};
     const auto missing = client.waitInForce(offset, [&](const std::vector<std::string> &lacking, std::size_t all) {
         if (lacking.size() != lastMissing) {
             lastMissing = lacking.size();
@@ -345,7 +345,7 @@
         std::cout << rows.dump(2) << '\n';
         return exit_success;
     }
-    std::vector<std::vector<std::string>> table {{"INSTANCE", "ROLE", "ENDPOINT", "ZONE", "CONFIGURATION", "READY", "LEAVING"}};
+    std::vector<std::vector<std::string>> table{{"INSTANCE", "ROLE", "ENDPOINT", "ZONE", "CONFIGURATION", "READY", "LEAVING"}};
     for (const auto &[row, answer] : all) {
         const json page = answer.value_or(json::object());
         table.push_back({row.name,
@@ -399,9 +399,9 @@
         std::cout << rows.dump(2) << '\n';
         return;
     }
-    std::vector<std::vector<std::string>> table {{"AT_US", "EVENT", "REQUEST", "CLASS", "TIER", "WORKSPACE", "ENDPOINT", "REASON", "WAITED_MS", "WAITING"}};
+    std::vector<std::vector<std::string>> table{{"AT_US", "EVENT", "REQUEST", "CLASS", "TIER", "WORKSPACE", "ENDPOINT", "REASON", "WAITED_MS", "WAITING"}};
     for (const auto &value : decisions) {
-        const bool hasQueued = value.queuedAt != time_point {};
+        const bool hasQueued = value.queuedAt != time_point{};
         table.push_back({timeText(value.at),
                          std::string(toString(value.event)),
                          absl::StrCat(toString(value.request), "/", value.attempt),
@@ -456,15 +456,15 @@
 exit_code runCommand(operator_client &client, const command_options &options)
 {
     using handler = exit_code (*)(operator_client &, const command_options &);
-    static const std::map<std::string, handler> handlers {{"apply", apply},
-                                                          {"get", get},
-                                                          {"describe", describeOne},
-                                                          {"delete", remove},
-                                                          {"diff", diff},
-                                                          {"watch", watch},
-                                                          {"status", status},
-                                                          {"drain", drain},
-                                                          {"audit", auditCommand}};
+    static const std::map<std::string, handler> handlers{{"apply", apply},
+                                                         {"get", get},
+                                                         {"describe", describeOne},
+                                                         {"delete", remove},
+                                                         {"diff", diff},
+                                                         {"watch", watch},
+                                                         {"status", status},
+                                                         {"drain", drain},
+                                                         {"audit", auditCommand}};
     if (!options.arguments.empty() && options.arguments[0] == "version") {
         std::cout << "wisteriashuntctl " << version << '\n';
         return exit_success;
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -32,18 +32,18 @@
     const std::string instances = absl::GetFlag(FLAGS_instances);
     const std::string author = absl::GetFlag(FLAGS_author);
     curl_global_init(CURL_GLOBAL_DEFAULT);
-    const client_options clientOptions {.logUrl = absl::GetFlag(FLAGS_log),
-                                        .instancesUrl = instances.empty() ? absl::GetFlag(FLAGS_log) : instances,
-                                        .author = !author.empty() ? author : (user != nullptr ? user : "unknown"),
-                                        .timeout = std::chrono::seconds(absl::GetFlag(FLAGS_timeout))};
-    const command_options options {.arguments = {positional.begin() + 1, positional.end()},
-                                   .file = absl::GetFlag(FLAGS_f),
-                                   .output = absl::GetFlag(FLAGS_o),
-                                   .wait = absl::GetFlag(FLAGS_wait),
-                                   .ifVersion = absl::GetFlag(FLAGS_if_version),
-                                   .watchCount = absl::GetFlag(FLAGS_count),
-                                   .className = absl::GetFlag(FLAGS_class),
-                                   .endpointName = absl::GetFlag(FLAGS_endpoint)};
+    const client_options clientOptions{.logUrl = absl::GetFlag(FLAGS_log),
+                                       .instancesUrl = instances.empty() ? absl::GetFlag(FLAGS_log) : instances,
+                                       .author = !author.empty() ? author : (user != nullptr ? user : "unknown"),
+                                       .timeout = std::chrono::seconds(absl::GetFlag(FLAGS_timeout))};
+    const command_options options{.arguments = {positional.begin() + 1, positional.end()},
+                                  .file = absl::GetFlag(FLAGS_f),
+                                  .output = absl::GetFlag(FLAGS_o),
+                                  .wait = absl::GetFlag(FLAGS_wait),
+                                  .ifVersion = absl::GetFlag(FLAGS_if_version),
+                                  .watchCount = absl::GetFlag(FLAGS_count),
+                                  .className = absl::GetFlag(FLAGS_class),
+                                  .endpointName = absl::GetFlag(FLAGS_endpoint)};
     try {
         operator_client client(clientOptions);
         return runCommand(client, options);
--- a/src/ctl/operator_client.cpp
+++ b/src/ctl/operator_client.cpp
@@ -125,7 +125,7 @@
 {
     std::vector<instance_status> all;
     for (const auto &row : m_list.read()) {
-        instance_status answer {.row = row, .status = std::nullopt};
+        instance_status answer{.row = row, .status = std::nullopt};
         try {
             const http_reply reply = m_admin.get(absl::StrCat("http://", row.address, ":", row.adminPort, "/status"), adminTimeout);
             auto parsed = nlohmann::json::parse(reply.body, nullptr, false);
@@ -148,7 +148,7 @@
         std::vector<std::string> missing;
         const auto all = askInstances();
         for (const auto &instance : all) {
-            if (!instance.status || instance.status->value("configuration", log_offset {0}) < offset) {
+            if (!instance.status || instance.status->value("configuration", log_offset{0}) < offset) {
                 missing.push_back(instance.row.name);
             }
         }
--- a/src/daemon/caller_server.cpp
+++ b/src/daemon/caller_server.cpp
@@ -93,10 +93,10 @@
 std::string errorBody(error_kind kind, const std::string &detail)
 {
     const error_answer &answer = answerFor(kind);
-    const nlohmann::json body {{"error",
-                                {{"type", answer.name},
-                                 {"message", detail.empty() ? std::string(answer.meaning) : detail},
-                                 {"ran", answer.ran == run_state::not_run ? "no" : "maybe"}}}};
+    const nlohmann::json body{{"error",
+                               {{"type", answer.name},
+                                {"message", detail.empty() ? std::string(answer.meaning) : detail},
+                                {"ran", answer.ran == run_state::not_run ? "no" : "maybe"}}}};
     return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -236,7 +236,7 @@
 caller_server::caller_server(const caller_server_options &options)
     : m_implementation(std::make_unique<implementation>())
 {
-    sockaddr_in socketAddress {};
+    sockaddr_in socketAddress{};
     socketAddress.sin_family = AF_INET;
     socketAddress.sin_port = htons(static_cast<std::uint16_t>(options.port));
     inet_pton(AF_INET, options.address.c_str(), &socketAddress.sin_addr);
@@ -371,7 +371,7 @@
             continue;
         }
         const MHD_ConnectionInfo *info = MHD_get_connection_info(current->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-        pollfd watched {.fd = info->connect_fd, .events = POLLRDHUP, .revents = 0};
+        pollfd watched{.fd = info->connect_fd, .events = POLLRDHUP, .revents = 0};
         if (poll(&watched, 1, 0) > 0 && (watched.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
             leavers.push_back(current->id);
             current->state = exchange::stage::cut;
--- a/src/daemon/claim_writer.h
+++ b/src/daemon/claim_writer.h
@@ -41,7 +41,7 @@
     claim_writer_options m_options;
     std::unique_ptr<log_service> m_log;
     bounded_ring<std::string> m_ring;
-    std::atomic<bool> m_isStopping {false};
+    std::atomic<bool> m_isStopping{false};
     std::thread m_thread;
 };
 
--- a/src/daemon/configuration_keeper.cpp
+++ b/src/daemon/configuration_keeper.cpp
@@ -9,14 +9,14 @@
     : m_options(options)
     , m_snapshotLog(std::move(snapshotLog))
 {
-    follower_options following {.stream = configurationStream,
-                                .nextOffset =
-                                    [this] {
-                                        const absl::MutexLock lock(&m_mutex);
-                                        return m_reducer.nextOffset();
-                                    },
-                                .onPage = [this](const log_page &page) { onPage(page); },
-                                .onAvailability = options.onAvailability};
+    follower_options following{.stream = configurationStream,
+                               .nextOffset =
+                                   [this] {
+                                       const absl::MutexLock lock(&m_mutex);
+                                       return m_reducer.nextOffset();
+                                   },
+                               .onPage = [this](const log_page &page) { onPage(page); },
+                               .onAvailability = options.onAvailability};
     m_follower = std::make_unique<stream_follower>(following, std::move(followLog));
 }
 
--- a/src/daemon/daemon_base.cpp
+++ b/src/daemon/daemon_base.cpp
@@ -38,10 +38,8 @@
     , m_hooks(hooks)
     , m_clock(clock)
     , m_incarnation(drawIncarnation())
-    , m_recorder(std::make_unique<decision_recorder>(recorder_options {.instance = settings.instance, .incarnation = m_incarnation},
-                                                     std::make_unique<http_log_service>(settings.logUrl),
-                                                     m_metrics,
-                                                     clock))
+    , m_recorder(std::make_unique<decision_recorder>(
+          recorder_options{.instance = settings.instance, .incarnation = m_incarnation}, std::make_unique<http_log_service>(settings.logUrl), m_metrics, clock))
 {
 }
 
@@ -52,17 +50,17 @@
 
 void daemon_base::start()
 {
-    keeper_options keeping {.snapshotEvery = m_settings.role == daemon_role::entry ? keeper_options {}.snapshotEvery : 0,
-                            .onState =
-                                [this](const configuration_state &state) {
-                                    note(event_number::configuration_applied, "offset_" + std::to_string(state.offset));
-                                    m_hooks.onConfiguration(state);
-                                },
-                            .onAvailability =
-                                [this](bool available) {
-                                    m_isLogAvailable = available;
-                                    note(available ? event_number::platform_up : event_number::platform_down, "log");
-                                }};
+    keeper_options keeping{.snapshotEvery = m_settings.role == daemon_role::entry ? keeper_options{}.snapshotEvery : 0,
+                           .onState =
+                               [this](const configuration_state &state) {
+                                   note(event_number::configuration_applied, "offset_" + std::to_string(state.offset));
+                                   m_hooks.onConfiguration(state);
+                               },
+                           .onAvailability =
+                               [this](bool available) {
+                                   m_isLogAvailable = available;
+                                   note(available ? event_number::platform_up : event_number::platform_down, "log");
+                               }};
     m_configuration = std::make_unique<configuration_keeper>(
         keeping, std::make_unique<http_log_service>(m_settings.logUrl), std::make_unique<http_log_service>(m_settings.logUrl));
     m_admin =
@@ -123,7 +121,7 @@
 
 void daemon_base::note(event_number event, const std::string &reason)
 {
-    decision value {.event = event, .at = m_clock.now(), .endpointName = m_settings.endpointName, .reason = reason};
+    decision value{.event = event, .at = m_clock.now(), .endpointName = m_settings.endpointName, .reason = reason};
     m_recorder->record(value);
 }
 
@@ -164,14 +162,14 @@
 
 nlohmann::json daemon_base::status() const
 {
-    nlohmann::json page {{"instance", m_settings.instance},
-                         {"role", roleName(m_settings.role)},
-                         {"zone", m_settings.zone},
-                         {"incarnation", m_incarnation},
-                         {"configuration", m_configuration->offset()},
-                         {"leaving", m_isLeaving.load()},
-                         {"logAvailable", m_isLogAvailable.load()},
-                         {"ready", m_hooks.isReady()}};
+    nlohmann::json page{{"instance", m_settings.instance},
+                        {"role", roleName(m_settings.role)},
+                        {"zone", m_settings.zone},
+                        {"incarnation", m_incarnation},
+                        {"configuration", m_configuration->offset()},
+                        {"leaving", m_isLeaving.load()},
+                        {"logAvailable", m_isLogAvailable.load()},
+                        {"ready", m_hooks.isReady()}};
     page.update(m_hooks.describe());
     return page;
 }
--- a/src/daemon/daemon_base.h
+++ b/src/daemon/daemon_base.h
@@ -74,10 +74,10 @@
     const clock_source &m_clock;
     std::uint64_t m_incarnation;
     metrics m_metrics;
-    std::atomic<bool> m_isLeaving {false};
-    std::atomic<bool> m_isDrainRequested {false};
-    std::atomic<bool> m_isStopping {false};
-    std::atomic<bool> m_isLogAvailable {false};
+    std::atomic<bool> m_isLeaving{false};
+    std::atomic<bool> m_isDrainRequested{false};
+    std::atomic<bool> m_isStopping{false};
+    std::atomic<bool> m_isLogAvailable{false};
     std::unique_ptr<decision_recorder> m_recorder;
     std::unique_ptr<configuration_keeper> m_configuration;
     std::unique_ptr<http_server> m_admin;
--- a/src/daemon/decision_recorder.h
+++ b/src/daemon/decision_recorder.h
@@ -55,9 +55,9 @@
     std::vector<decision> m_backlog;
     /// A sealed batch whose append has not been confirmed; it is written again as it is.
     std::string m_sealed;
-    time_point m_lastAppend {};
-    std::atomic<bool> m_isStopping {false};
-    std::atomic<std::int64_t> m_stopBy {0};
+    time_point m_lastAppend{};
+    std::atomic<bool> m_isStopping{false};
+    std::atomic<std::int64_t> m_stopBy{0};
     std::thread m_thread;
 };
 
--- a/src/daemon/endpoint_daemon.cpp
+++ b/src/daemon/endpoint_daemon.cpp
@@ -22,30 +22,30 @@
     , m_clock(clock)
     , m_events(eventCapacity)
 {
-    const daemon_hooks hooks {.onConfiguration =
-                                  [this](const configuration_state &state) {
-                                      const auto own = state.endpoints.find(m_settings.endpointName);
-                                      if (own != state.endpoints.end()) {
-                                          m_upstream->requireEchoedId(own->second.value.echoesRequestId);
-                                      }
-                                      m_configurationOffset = state.offset;
-                                      m_events.push(configuration_changed {state});
-                                  },
-                              .onInstances = [](const std::vector<instance_row> &) {},
-                              .describe =
-                                  [this] {
-                                      return nlohmann::json {{"endpoint", m_settings.endpointName}, {"idle", m_isIdle.load()}};
-                                  },
-                              .isReady = [this] { return m_configurationOffset > 0; }};
+    const daemon_hooks hooks{.onConfiguration =
+                                 [this](const configuration_state &state) {
+                                     const auto own = state.endpoints.find(m_settings.endpointName);
+                                     if (own != state.endpoints.end()) {
+                                         m_upstream->requireEchoedId(own->second.value.echoesRequestId);
+                                     }
+                                     m_configurationOffset = state.offset;
+                                     m_events.push(configuration_changed{state});
+                                 },
+                             .onInstances = [](const std::vector<instance_row> &) {},
+                             .describe =
+                                 [this] {
+                                     return nlohmann::json{{"endpoint", m_settings.endpointName}, {"idle", m_isIdle.load()}};
+                                 },
+                             .isReady = [this] { return m_configurationOffset > 0; }};
     m_base = std::make_unique<daemon_base>(settings, hooks, clock);
-    m_core = std::make_unique<endpoint_core>(endpoint_core_options {.endpointName = settings.endpointName, .incarnation = m_base->incarnation()});
-    peer_hub_options hub {.self = {.instance = settings.instance, .endpointName = settings.endpointName, .incarnation = m_base->incarnation()},
-                          .keys = settings.peerKeys,
-                          .listen = settings.listen,
-                          .deliver = [this](hub_event &event) { return onHubEvent(event); }};
+    m_core = std::make_unique<endpoint_core>(endpoint_core_options{.endpointName = settings.endpointName, .incarnation = m_base->incarnation()});
+    peer_hub_options hub{.self = {.instance = settings.instance, .endpointName = settings.endpointName, .incarnation = m_base->incarnation()},
+                         .keys = settings.peerKeys,
+                         .listen = settings.listen,
+                         .deliver = [this](hub_event &event) { return onHubEvent(event); }};
     m_hub = std::make_unique<peer_hub>(hub, clock);
     m_upstream = std::make_unique<upstream_client>(
-        upstream_client_options {.baseUrl = settings.upstreamUrl, .deliver = [this](endpoint_event event) { m_events.push(std::move(event)); }});
+        upstream_client_options{.baseUrl = settings.upstreamUrl, .deliver = [this](endpoint_event event) { m_events.push(std::move(event)); }});
 }
 
 endpoint_daemon::~endpoint_daemon()
@@ -70,7 +70,7 @@
     }
     m_base->markLeaving();
     m_isIdle = false;
-    m_events.push(leave_requested {});
+    m_events.push(leave_requested{});
     const time_point drainUntil = m_clock.now() + m_settings.drainTimeout;
     while (!m_isIdle && m_clock.now() < drainUntil) {
         std::this_thread::sleep_for(supervisionInterval);
@@ -80,19 +80,19 @@
 
 bool endpoint_daemon::onHubEvent(hub_event &event)
 {
-    endpoint_event forwarded = tick {};
+    endpoint_event forwarded = tick{};
     switch (event.type) {
     case hub_event::event_type::up:
         m_base->note(event_number::peer_up, event.identity.instance);
         // The core thread learns of a peer by its first message. This one means nothing to the core itself.
-        forwarded = peer_message {.peer = event.peer, .content = queued {}};
+        forwarded = peer_message{.peer = event.peer, .content = queued{}};
         break;
     case hub_event::event_type::down:
         m_base->note(event_number::peer_down, "connection_" + std::to_string(event.peer));
-        forwarded = peer_lost {event.peer};
+        forwarded = peer_lost{event.peer};
         break;
     case hub_event::event_type::received:
-        forwarded = peer_message {.peer = event.peer, .content = event.content};
+        forwarded = peer_message{.peer = event.peer, .content = event.content};
         break;
     case hub_event::event_type::rejected:
         m_base->note(event_number::peer_refused, event.detail);
@@ -105,7 +105,7 @@
 {
     while (!m_isCoreStopping) {
         auto events = m_events.popAll(tickInterval);
-        events.emplace_back(tick {});
+        events.emplace_back(tick{});
         bool hasLeaveRequest = false;
         for (auto &event : events) {
             if (const auto *received = std::get_if<peer_message>(&event)) {
@@ -136,7 +136,7 @@
     if (const auto *update = std::get_if<configuration_update>(&content)) {
         m_base->configuration().adopt(update->snapshot);
     } else if (const auto *beat = std::get_if<heartbeat>(&content); beat != nullptr && beat->configuration < m_configurationOffset) {
-        m_hub->send(peer, configuration_update {.snapshot = m_base->configuration().snapshot()});
+        m_hub->send(peer, configuration_update{.snapshot = m_base->configuration().snapshot()});
     }
 }
 
--- a/src/daemon/endpoint_daemon.h
+++ b/src/daemon/endpoint_daemon.h
@@ -39,10 +39,10 @@
     std::unique_ptr<peer_hub> m_hub;
     std::unique_ptr<upstream_client> m_upstream;
     std::set<peer_id> m_peers;
-    time_point m_nextHeartbeat {};
-    std::atomic<bool> m_isCoreStopping {false};
-    std::atomic<bool> m_isIdle {true};
-    std::atomic<log_offset> m_configurationOffset {0};
+    time_point m_nextHeartbeat{};
+    std::atomic<bool> m_isCoreStopping{false};
+    std::atomic<bool> m_isIdle{true};
+    std::atomic<log_offset> m_configurationOffset{0};
     std::thread m_coreThread;
 };
 
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -23,37 +23,37 @@
     , m_random(drawIncarnation())
     , m_events(eventCapacity)
 {
-    const daemon_hooks hooks {.onConfiguration =
-                                  [this](const configuration_state &state) {
-                                      {
-                                          const absl::MutexLock lock(&m_configurationMutex);
-                                          m_configuration = std::make_shared<configuration_state>(state);
-                                      }
-                                      m_events.push(configuration_changed {state});
-                                  },
-                              .onInstances = [this](const std::vector<instance_row> &rows) { onInstances(rows); },
-                              .describe =
-                                  [this] {
-                                      return nlohmann::json {{"openRequests", m_openRequests.load()}, {"usableEndpoints", m_usableEndpoints.load()}};
-                                  },
-                              .isReady = [this] { return configuration()->offset > 0 && m_usableEndpoints > 0; }};
+    const daemon_hooks hooks{.onConfiguration =
+                                 [this](const configuration_state &state) {
+                                     {
+                                         const absl::MutexLock lock(&m_configurationMutex);
+                                         m_configuration = std::make_shared<configuration_state>(state);
+                                     }
+                                     m_events.push(configuration_changed{state});
+                                 },
+                             .onInstances = [this](const std::vector<instance_row> &rows) { onInstances(rows); },
+                             .describe =
+                                 [this] {
+                                     return nlohmann::json{{"openRequests", m_openRequests.load()}, {"usableEndpoints", m_usableEndpoints.load()}};
+                                 },
+                             .isReady = [this] { return configuration()->offset > 0 && m_usableEndpoints > 0; }};
     m_base = std::make_unique<daemon_base>(settings, hooks, clock);
-    entry_core_options core {.instanceName = settings.instance,
-                             .incarnation = m_base->incarnation(),
-                             .reservationSample = settings.reservationSample,
-                             .random = [this](std::uint64_t bound) { return m_random() % bound; }};
+    entry_core_options core{.instanceName = settings.instance,
+                            .incarnation = m_base->incarnation(),
+                            .reservationSample = settings.reservationSample,
+                            .random = [this](std::uint64_t bound) { return m_random() % bound; }};
     m_core = std::make_unique<entry_core>(core);
-    peer_hub_options hub {.self = {.instance = settings.instance, .endpointName = {}, .incarnation = m_base->incarnation()},
-                          .keys = settings.peerKeys,
-                          .listen = {},
-                          .deliver = [this](hub_event &event) { return onHubEvent(event); }};
+    peer_hub_options hub{.self = {.instance = settings.instance, .endpointName = {}, .incarnation = m_base->incarnation()},
+                         .keys = settings.peerKeys,
+                         .listen = {},
+                         .deliver = [this](hub_event &event) { return onHubEvent(event); }};
     m_hub = std::make_unique<peer_hub>(hub, clock);
-    caller_server_options callers {.address = settings.listen.host,
-                                   .port = settings.listen.port,
-                                   .maxBodyBytes = settings.maxBodyBytes,
-                                   .maxConnections = settings.maxConnections,
-                                   .onRequest = [this](std::uint64_t caller, http_request request) { onRequest(caller, std::move(request)); },
-                                   .onLeft = [this](std::uint64_t caller) { m_events.push(caller_left {caller}); }};
+    caller_server_options callers{.address = settings.listen.host,
+                                  .port = settings.listen.port,
+                                  .maxBodyBytes = settings.maxBodyBytes,
+                                  .maxConnections = settings.maxConnections,
+                                  .onRequest = [this](std::uint64_t caller, http_request request) { onRequest(caller, std::move(request)); },
+                                  .onLeft = [this](std::uint64_t caller) { m_events.push(caller_left{caller}); }};
     m_callers = std::make_unique<caller_server>(callers);
 }
 
@@ -71,7 +71,7 @@
 
 void entry_daemon::run(const std::function<bool()> &isStopRequested)
 {
-    m_claimWriter = std::make_unique<claim_writer>(claim_writer_options {}, std::make_unique<http_log_service>(m_settings.logUrl));
+    m_claimWriter = std::make_unique<claim_writer>(claim_writer_options{}, std::make_unique<http_log_service>(m_settings.logUrl));
     m_coreThread = std::thread([this] { runCore(); });
     m_hub->start();
     m_base->start();
@@ -82,7 +82,7 @@
         std::this_thread::sleep_for(supervisionInterval);
     }
     m_base->markLeaving();
-    m_events.push(leave_requested {});
+    m_events.push(leave_requested{});
     const time_point drainUntil = m_clock.now() + m_settings.drainTimeout;
     // The balancer needs a moment to see that this instance leaves; until then new requests are answered with where to go.
     constexpr duration balancerGrace = std::chrono::seconds(2);
@@ -96,18 +96,18 @@
 
 void entry_daemon::followClaims()
 {
-    follower_options options {.stream = claimStream,
-                              .nextOffset = [this] { return m_nextClaim.load(); },
-                              .onPage =
-                                  [this](const log_page &page) {
-                                      if (!page.records.empty()) {
-                                          m_nextClaim = page.records.back().offset + 1;
-                                          m_events.push(claims_read {.firstRetained = page.firstRetained, .records = page.records});
-                                      } else if (m_nextClaim < page.firstRetained) {
-                                          m_nextClaim = page.firstRetained;
-                                      }
-                                  },
-                              .onAvailability = [this](bool available) { m_events.push(claims_available {available}); }};
+    follower_options options{.stream = claimStream,
+                             .nextOffset = [this] { return m_nextClaim.load(); },
+                             .onPage =
+                                 [this](const log_page &page) {
+                                     if (!page.records.empty()) {
+                                         m_nextClaim = page.records.back().offset + 1;
+                                         m_events.push(claims_read{.firstRetained = page.firstRetained, .records = page.records});
+                                     } else if (m_nextClaim < page.firstRetained) {
+                                         m_nextClaim = page.firstRetained;
+                                     }
+                                 },
+                             .onAvailability = [this](bool available) { m_events.push(claims_available{available}); }};
     m_claimFollower = std::make_unique<stream_follower>(options, std::make_unique<http_log_service>(m_settings.logUrl));
 }
 
@@ -120,7 +120,7 @@
 void entry_daemon::onRequest(std::uint64_t caller, http_request request)
 {
     try {
-        m_events.push(caller_arrived {.caller = caller, .request = route(*configuration(), request)});
+        m_events.push(caller_arrived{.caller = caller, .request = route(*configuration(), request)});
     } catch (const shunt_error &error) {
         LOG(INFO) << "event=" << static_cast<int>(event_number::request_refused) << " name=request_refused reason=" << error.what();
         m_callers->answerError(caller, error.kind(), error.what(), std::chrono::seconds(1));
@@ -129,16 +129,16 @@
 
 bool entry_daemon::onHubEvent(hub_event &event)
 {
-    entry_event forwarded = tick {};
+    entry_event forwarded = tick{};
     switch (event.type) {
     case hub_event::event_type::up:
-        forwarded = endpoint_connected {.peer = event.peer, .name = event.identity.endpointName, .incarnation = event.identity.incarnation};
+        forwarded = endpoint_connected{.peer = event.peer, .name = event.identity.endpointName, .incarnation = event.identity.incarnation};
         break;
     case hub_event::event_type::down:
-        forwarded = peer_lost {event.peer};
+        forwarded = peer_lost{event.peer};
         break;
     case hub_event::event_type::received:
-        forwarded = peer_message {.peer = event.peer, .content = event.content};
+        forwarded = peer_message{.peer = event.peer, .content = event.content};
         break;
     case hub_event::event_type::rejected:
         m_base->note(event_number::peer_refused, event.detail);
@@ -161,14 +161,14 @@
         }
     }
     m_hub->setTargets(targets);
-    m_events.push(endpoints_listed_leaving {leaving});
+    m_events.push(endpoints_listed_leaving{leaving});
 }
 
 void entry_daemon::runCore()
 {
     while (!m_isCoreStopping) {
         auto events = m_events.popAll(tickInterval);
-        events.emplace_back(tick {});
+        events.emplace_back(tick{});
         for (auto &event : events) {
             if (const auto *received = std::get_if<peer_message>(&event)) {
                 exchangeConfiguration(
@@ -198,7 +198,7 @@
     if (const auto *update = std::get_if<configuration_update>(&event.content)) {
         m_base->configuration().adopt(update->snapshot);
     } else if (const auto *beat = std::get_if<heartbeat>(&event.content); beat != nullptr && beat->configuration < configuration()->offset) {
-        m_hub->send(event.peer, configuration_update {.snapshot = m_base->configuration().snapshot()});
+        m_hub->send(event.peer, configuration_update{.snapshot = m_base->configuration().snapshot()});
     }
 }
 
@@ -210,7 +210,7 @@
     }
     m_nextHeartbeat = now + heartbeatInterval;
     for (const peer_id peer : m_peers) {
-        m_hub->send(peer, heartbeat {.configuration = configuration()->offset, .leaving = m_base->isLeaving()});
+        m_hub->send(peer, heartbeat{.configuration = configuration()->offset, .leaving = m_base->isLeaving()});
     }
 }
 
--- a/src/daemon/entry_daemon.h
+++ b/src/daemon/entry_daemon.h
@@ -47,12 +47,12 @@
     std::unique_ptr<claim_writer> m_claimWriter;
     std::unique_ptr<stream_follower> m_claimFollower;
     std::unique_ptr<caller_server> m_callers;
-    std::atomic<log_offset> m_nextClaim {1};
-    std::atomic<bool> m_isCoreStopping {false};
-    std::atomic<std::size_t> m_openRequests {0};
-    std::atomic<std::size_t> m_usableEndpoints {0};
+    std::atomic<log_offset> m_nextClaim{1};
+    std::atomic<bool> m_isCoreStopping{false};
+    std::atomic<std::size_t> m_openRequests{0};
+    std::atomic<std::size_t> m_usableEndpoints{0};
     std::set<peer_id> m_peers;
-    time_point m_nextHeartbeat {};
+    time_point m_nextHeartbeat{};
     mutable absl::Mutex m_configurationMutex;
     std::shared_ptr<const configuration_state> m_configuration ABSL_GUARDED_BY(m_configurationMutex) = std::make_shared<configuration_state>();
     std::thread m_coreThread;
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -11,7 +11,7 @@
 
 namespace accumulators = boost::accumulators;
 
-constexpr std::array quantiles {0.5, 0.95, 0.99};
+constexpr std::array quantiles{0.5, 0.95, 0.99};
 
 } // namespace
 
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -26,8 +26,8 @@
         return {};
     }
     yaml_fields inner(node, file, key, faults);
-    peer_address address {.host = inner.readString("address", "", true), .port = static_cast<int>(inner.readInteger("port", 0, 1, largestPort))};
-    in_addr parsed {};
+    peer_address address{.host = inner.readString("address", "", true), .port = static_cast<int>(inner.readInteger("port", 0, 1, largestPort))};
+    in_addr parsed{};
     if (!address.host.empty() && inet_pton(AF_INET, address.host.c_str(), &parsed) != 1) {
         inner.report("address", "\"" + address.host + "\"", "an IPv4 number such as 127.0.0.1");
     }
--- a/src/daemon/stream_follower.h
+++ b/src/daemon/stream_follower.h
@@ -41,7 +41,7 @@
 
     follower_options m_options;
     std::unique_ptr<log_service> m_log;
-    std::atomic<bool> m_isStopping {false};
+    std::atomic<bool> m_isStopping{false};
     std::thread m_thread;
 };
 
--- a/src/daemon/upstream_client.h
+++ b/src/daemon/upstream_client.h
@@ -62,7 +62,7 @@
 
     upstream_client_options m_options;
     std::atomic<bool> m_requireEchoedId;
-    std::atomic<bool> m_isStopping {false};
+    std::atomic<bool> m_isStopping{false};
     bounded_ring<command> m_commands;
     void *m_multi = nullptr;
     std::map<attempt_id, std::unique_ptr<transfer>> m_transfers;
--- a/src/endpoint/concurrency_limiter.h
+++ b/src/endpoint/concurrency_limiter.h
@@ -77,8 +77,8 @@
     int m_firstTokenCount = 0;
     double m_expectedFirstToken = 0;
     bool m_isStraggling = false;
-    time_point m_lastAdjust {};
-    time_point m_nextProbe {};
+    time_point m_lastAdjust{};
+    time_point m_nextProbe{};
 };
 
 } // namespace wisteriashunt
--- a/src/endpoint/endpoint_core.cpp
+++ b/src/endpoint/endpoint_core.cpp
@@ -60,20 +60,20 @@
     if (m_offers.contains(request.id) || m_running.contains(request.id)) {
         return;
     }
-    waiting_work work {.id = request.id,
-                       .peer = peer,
-                       .className = request.className,
-                       .workspaceName = request.workspaceName,
-                       .arrivedAt = m_now - duration(request.waitedMicroseconds),
-                       .latestStart = {},
-                       .idempotent = request.idempotent};
+    waiting_work work{.id = request.id,
+                      .peer = peer,
+                      .className = request.className,
+                      .workspaceName = request.workspaceName,
+                      .arrivedAt = m_now - duration(request.waitedMicroseconds),
+                      .latestStart = {},
+                      .idempotent = request.idempotent};
     work.latestStart = work.arrivedAt + waitBudget(*m_queue.findClass(request.className));
     if (!m_queue.add(work)) {
         return;
     }
     dispatch();
     if (m_queue.contains(request.id)) {
-        send(peer, queued {.id = request.id});
+        send(peer, queued{.id = request.id});
         note(event_number::attempt_queued, work, "no_free_slot");
     }
 }
@@ -114,16 +114,17 @@
         return;
     }
     m_running.emplace(request.id,
-                      running_attempt {.work = choice.work,
-                                       .startedAt = m_now,
-                                       .lastEventAt = m_now,
-                                       .events = request.resumeFrom,
-                                       .resumedFrom = request.resumeFrom,
-                                       .streaming = request.streaming});
+                      running_attempt{.work = choice.work,
+                                      .chargedTokens = choice.chargedTokens,
+                                      .startedAt = m_now,
+                                      .lastEventAt = m_now,
+                                      .events = request.resumeFrom,
+                                      .resumedFrom = request.resumeFrom,
+                                      .streaming = request.streaming});
     m_limiter.onStart(m_now);
     m_predictor.onDeparture(m_now, m_queue.findClass(choice.work.className) == nullptr ? tierCount : m_queue.findClass(choice.work.className)->tier);
     note(event_number::attempt_started, choice.work, std::string(toString(choice.reason)));
-    m_actions.emplace_back(start_upstream {request});
+    m_actions.emplace_back(start_upstream{request});
 }
 
 void endpoint_core::onMessage(peer_id, const cancel &request)
@@ -136,14 +137,14 @@
     if (!position->second.work.idempotent) {
         return;
     }
-    m_actions.emplace_back(cancel_upstream {request.id});
+    m_actions.emplace_back(cancel_upstream{request.id});
     end(position, "cancelled");
 }
 
 void endpoint_core::onMessage(peer_id peer, const fate_query &query)
 {
     if (query.endpointIncarnation != m_options.incarnation) {
-        send(peer, fate_answer {.id = query.id, .state = static_cast<std::uint8_t>(fate::unknown), .outcome = {}});
+        send(peer, fate_answer{.id = query.id, .state = static_cast<std::uint8_t>(fate::unknown), .outcome = {}});
         return;
     }
     const auto offered = m_offers.find(query.id);
@@ -154,7 +155,7 @@
     const auto waiting = m_queue.remove(query.id);
     const fate_answer answer = m_ledger.resolve(query.id);
     if (answer.state == static_cast<std::uint8_t>(fate::never_started)) {
-        waiting_work barred = waiting.value_or(waiting_work {});
+        waiting_work barred = waiting.value_or(waiting_work{});
         barred.id = query.id;
         note(event_number::attempt_barred, barred, "fate_query");
     }
@@ -181,7 +182,7 @@
     for (auto it = m_running.begin(); it != m_running.end();) {
         const auto current = it++;
         if (current->second.work.peer == event.peer && current->second.work.idempotent) {
-            m_actions.emplace_back(cancel_upstream {current->first});
+            m_actions.emplace_back(cancel_upstream{current->first});
             end(current, "entry_lost");
         }
     }
@@ -202,7 +203,7 @@
         m_limiter.observeGap(sinceLast / event.events);
     }
     attempt.lastEventAt = m_now;
-    send(attempt.work.peer, chunk {.id = event.id, .offset = attempt.events, .events = event.events, .data = event.data});
+    send(attempt.work.peer, chunk{.id = event.id, .offset = attempt.events, .events = event.events, .data = event.data});
     attempt.events += event.events;
 }
 
@@ -240,7 +241,7 @@
         return;
     }
     m_ledger.fail(event.id);
-    send(work.peer, failed {.id = event.id, .detail = event.detail});
+    send(work.peer, failed{.id = event.id, .detail = event.detail});
     end(position, "failed");
 }
 
@@ -303,7 +304,7 @@
     const int before = m_limiter.limit();
     m_limiter.adjust(m_now, static_cast<int>(m_running.size()));
     if (m_limiter.limit() != before) {
-        note(event_number::limit_changed, waiting_work {}, std::to_string(before) + "->" + std::to_string(m_limiter.limit()));
+        note(event_number::limit_changed, waiting_work{}, std::to_string(before) + "->" + std::to_string(m_limiter.limit()));
     }
     shed();
 }
@@ -331,9 +332,9 @@
         if (!attempt.streaming || m_now - attempt.lastEventAt < m_options.stallTimeout) {
             continue;
         }
-        m_actions.emplace_back(cancel_upstream {current->first});
+        m_actions.emplace_back(cancel_upstream{current->first});
         m_ledger.fail(current->first);
-        send(attempt.work.peer, failed {.id = current->first, .detail = "back end silent"});
+        send(attempt.work.peer, failed{.id = current->first, .detail = "back end silent"});
         end(current, "stalled");
     }
 }
@@ -386,15 +387,15 @@
             return;
         }
         const duration lifetime = choice->work.idempotent ? m_options.offerLifetime : m_options.claimOfferLifetime;
-        m_offers.emplace(choice->work.id, open_offer {.choice = *choice, .expires = m_now + lifetime});
+        m_offers.emplace(choice->work.id, open_offer{.choice = *choice, .expires = m_now + lifetime});
         note(event_number::attempt_offered, choice->work, std::string(toString(choice->reason)));
-        send(choice->work.peer, offer {.id = choice->work.id, .endpointIncarnation = m_options.incarnation});
+        send(choice->work.peer, offer{.id = choice->work.id, .endpointIncarnation = m_options.incarnation});
     }
 }
 
 void endpoint_core::refuse(peer_id peer, const attempt_id &id, error_kind kind, duration retryAfter)
 {
-    send(peer, refused {.id = id, .kind = static_cast<std::uint8_t>(kind), .retryAfterMicroseconds = retryAfter.count()});
+    send(peer, refused{.id = id, .kind = static_cast<std::uint8_t>(kind), .retryAfterMicroseconds = retryAfter.count()});
 }
 
 void endpoint_core::end(std::map<attempt_id, running_attempt>::iterator position, const std::string &reason)
@@ -402,31 +403,31 @@
     const running_attempt attempt = position->second;
     m_running.erase(position);
     const double tokens = attempt.streaming ? attempt.events - attempt.resumedFrom : 1;
-    m_queue.settle(attempt.work.className, attempt.work.workspaceName, tokens);
+    m_queue.settle(attempt.work.className, attempt.work.workspaceName, attempt.chargedTokens, tokens);
     note(event_number::attempt_ended, attempt.work, reason, tokens);
 }
 
 void endpoint_core::note(event_number event, const waiting_work &work, const std::string &reason, double tokens)
 {
     const traffic_class *declared = m_queue.findClass(work.className);
-    m_actions.emplace_back(decision {.event = event,
-                                     .at = m_now,
-                                     .request = work.id.request,
-                                     .attempt = work.id.attempt,
-                                     .className = work.className,
-                                     .tier = declared == nullptr ? 0 : declared->tier,
-                                     .workspaceName = work.workspaceName,
-                                     .endpointName = m_options.endpointName,
-                                     .reason = reason,
-                                     .queuedAt = work.arrivedAt,
-                                     .configuration = m_configuration,
-                                     .waiting = m_queue.waitingByTier(),
-                                     .tokens = tokens});
+    m_actions.emplace_back(decision{.event = event,
+                                    .at = m_now,
+                                    .request = work.id.request,
+                                    .attempt = work.id.attempt,
+                                    .className = work.className,
+                                    .tier = declared == nullptr ? 0 : declared->tier,
+                                    .workspaceName = work.workspaceName,
+                                    .endpointName = m_options.endpointName,
+                                    .reason = reason,
+                                    .queuedAt = work.arrivedAt,
+                                    .configuration = m_configuration,
+                                    .waiting = m_queue.waitingByTier(),
+                                    .tokens = tokens});
 }
 
 void endpoint_core::send(peer_id peer, message content)
 {
-    m_actions.emplace_back(send_to_peer {.peer = peer, .content = std::move(content)});
+    m_actions.emplace_back(send_to_peer{.peer = peer, .content = std::move(content)});
 }
 
 bool endpoint_core::mayServe(const std::string &className) const
--- a/src/endpoint/endpoint_core.h
+++ b/src/endpoint/endpoint_core.h
@@ -102,6 +102,7 @@
     struct running_attempt
     {
         waiting_work work;
+        double chargedTokens = 0;
         time_point startedAt;
         time_point lastEventAt;
         std::uint32_t events = 0;
@@ -152,8 +153,8 @@
     std::map<attempt_id, running_attempt> m_running;
     log_offset m_configuration = 0;
     bool m_isLeaving = false;
-    time_point m_now {};
-    time_point m_lastSilenceSample {};
+    time_point m_now{};
+    time_point m_lastSilenceSample{};
     std::vector<endpoint_action> m_actions;
 };
 
--- a/src/endpoint/operation_ledger.cpp
+++ b/src/endpoint/operation_ledger.cpp
@@ -15,7 +15,7 @@
     if (m_entries.contains(id) || mayBeForgotten(id)) {
         return false;
     }
-    insert(id, entry {});
+    insert(id, entry{});
     return true;
 }
 
@@ -55,7 +55,7 @@
     if (mayBeForgotten(id)) {
         return {.id = id, .state = static_cast<std::uint8_t>(fate::unknown), .outcome = {}};
     }
-    insert(id, entry {.state = fate::never_started, .outcome = {}});
+    insert(id, entry{.state = fate::never_started, .outcome = {}});
     return {.id = id, .state = static_cast<std::uint8_t>(fate::never_started), .outcome = {}};
 }
 
--- a/src/endpoint/shedding.cpp
+++ b/src/endpoint/shedding.cpp
@@ -19,7 +19,7 @@
     int tier = tierCount;
     /// Place in the queue of its own workspace.
     std::size_t position = 0;
-    duration predicted {};
+    duration predicted{};
     bool isHopeless = false;
 };
 
--- a/src/endpoint/shedding.h
+++ b/src/endpoint/shedding.h
@@ -13,7 +13,7 @@
 struct shed_work
 {
     waiting_work work;
-    duration retryAfter {};
+    duration retryAfter{};
 
     auto operator<=>(const shed_work &) const = default;
 };
--- a/src/endpoint/wait_predictor.h
+++ b/src/endpoint/wait_predictor.h
@@ -17,7 +17,7 @@
 
 private:
     double m_value = 0;
-    time_point m_updated {};
+    time_point m_updated{};
 };
 
 /// Every endpoint sees the reservations of all entries, so the departures seen here are those of all endpoints that share the work.
--- a/src/endpoint/work_queue.cpp
+++ b/src/endpoint/work_queue.cpp
@@ -71,7 +71,7 @@
         std::upper_bound(waiting.begin(), waiting.end(), work, [](const waiting_work &a, const waiting_work &b) { return a.arrivedAt < b.arrivedAt; });
     waiting.insert(position, work);
     ++queue.waitingCount;
-    m_index.emplace(work.id, std::pair {work.className, work.workspaceName});
+    m_index.emplace(work.id, std::pair{work.className, work.workspaceName});
     return true;
 }
 
@@ -188,12 +188,13 @@
             best = &candidate;
         }
     }
-    chosen_work choice {.work = best->waiting.front(), .reason = active > 1 ? start_reason::fair_share : start_reason::tier};
+    chosen_work choice{.work = best->waiting.front(), .reason = active > 1 ? start_reason::fair_share : start_reason::tier};
     if (owedFloor) {
         choice.reason = start_reason::floor;
     }
     remove(choice.work.id);
-    charge(className, choice.work.workspaceName, queue.meanTokens > 0 ? queue.meanTokens : initialMeanTokens);
+    choice.chargedTokens = queue.meanTokens > 0 ? queue.meanTokens : initialMeanTokens;
+    charge(className, choice.work.workspaceName, choice.chargedTokens);
     return choice;
 }
 
@@ -203,35 +204,40 @@
     auto &workspaceQueue = queue.workspaces[workspaceName];
     workspaceQueue.virtualService += tokens / workspaceQueue.weight;
     queue.virtualService += tokens;
-    for (auto &[name, other] : m_queues) {
-        const auto declared = m_classes.find(name);
+    const double cap = floorCreditCapAnswers * std::max(queue.meanTokens, initialMeanTokens);
+    queue.floorCredit = std::clamp(queue.floorCredit - tokens, -cap, cap);
+}
+
+void work_queue::creditFloors(const std::string &className, double servedTokens)
+{
+    for (auto &[name, queue] : m_queues) {
+        const traffic_class *declared = findClass(name);
         // Credit grows only while work waits, so that an idle class cannot claim a past floor.
-        if (declared == m_classes.end() || (other.waitingCount == 0 && name != className)) {
+        if (declared == nullptr || (queue.waitingCount == 0 && name != className)) {
             continue;
         }
-        const double cap = floorCreditCapAnswers * std::max(other.meanTokens, initialMeanTokens);
-        other.floorCredit = std::min(cap, other.floorCredit + declared->second.value.floor * tokens);
+        const double cap = floorCreditCapAnswers * std::max(queue.meanTokens, initialMeanTokens);
+        queue.floorCredit = std::min(cap, queue.floorCredit + declared->floor * servedTokens);
     }
-    queue.floorCredit = std::max(queue.floorCredit - tokens, -floorCreditCapAnswers * std::max(queue.meanTokens, initialMeanTokens));
 }
 
 void work_queue::refund(const chosen_work &choice)
 {
-    const auto queue = m_queues.find(choice.work.className);
-    if (queue != m_queues.end()) {
-        charge(choice.work.className, choice.work.workspaceName, -(queue->second.meanTokens > 0 ? queue->second.meanTokens : initialMeanTokens));
+    if (m_queues.contains(choice.work.className)) {
+        charge(choice.work.className, choice.work.workspaceName, -choice.chargedTokens);
     }
 }
 
-void work_queue::settle(const std::string &className, const std::string &workspaceName, double servedTokens)
+void work_queue::settle(const std::string &className, const std::string &workspaceName, double chargedTokens, double servedTokens)
 {
     const auto found = m_queues.find(className);
     if (found == m_queues.end()) {
         return;
     }
     class_queue &queue = found->second;
-    const double estimate = queue.meanTokens > 0 ? queue.meanTokens : initialMeanTokens;
-    charge(className, workspaceName, servedTokens - estimate);
+    charge(className, workspaceName, servedTokens - chargedTokens);
+    // Floors are credited with service that was really given: an estimate that is taken back later would reach other classes than those it was given to.
+    creditFloors(className, servedTokens);
     queue.meanTokens = queue.meanTokens > 0 ? queue.meanTokens + meanTokensGain * (servedTokens - queue.meanTokens) : servedTokens;
 }
 
@@ -252,7 +258,7 @@
 
 std::array<std::uint32_t, tierCount> work_queue::waitingByTier() const
 {
-    std::array<std::uint32_t, tierCount> counts {};
+    std::array<std::uint32_t, tierCount> counts{};
     for (const auto &[name, queue] : m_queues) {
         counts.at(static_cast<std::size_t>(tierOf(name) - 1)) += static_cast<std::uint32_t>(queue.waitingCount);
     }
--- a/src/endpoint/work_queue.h
+++ b/src/endpoint/work_queue.h
@@ -49,6 +49,8 @@
 {
     waiting_work work;
     start_reason reason = start_reason::tier;
+    /// Service that was charged for it in advance, in tokens.
+    double chargedTokens = 0;
 
     auto operator<=>(const chosen_work &) const = default;
 };
@@ -76,7 +78,7 @@
     void refund(const chosen_work &choice);
 
     /// Corrects the charge of work that ended with the given service in tokens.
-    void settle(const std::string &className, const std::string &workspaceName, double servedTokens);
+    void settle(const std::string &className, const std::string &workspaceName, double chargedTokens, double servedTokens);
 
     [[nodiscard]] bool isEmpty() const;
     [[nodiscard]] std::size_t size() const;
@@ -115,6 +117,7 @@
     class_queue *findHighestTier(std::string &name);
     chosen_work takeFrom(const std::string &className, class_queue &queue, bool owedFloor);
     void charge(const std::string &className, const std::string &workspaceName, double tokens);
+    void creditFloors(const std::string &className, double servedTokens);
     [[nodiscard]] int tierOf(const std::string &className) const;
     [[nodiscard]] int highestWaitingTier() const;
     [[nodiscard]] double weightOf(const std::string &workspaceName) const;
--- a/src/evidence/decision.cpp
+++ b/src/evidence/decision.cpp
@@ -95,7 +95,7 @@
 {
     std::ostringstream line;
     line << "event=" << static_cast<int>(value.event) << " name=" << toString(value.event);
-    if (value.request != request_id {}) {
+    if (value.request != request_id{}) {
         line << " request=" << toString(value.request) << " attempt=" << value.attempt;
     }
     const auto field = [&line](std::string_view key, const std::string &text) {
@@ -110,7 +110,7 @@
     field("workspace", value.workspaceName);
     field("endpoint", value.endpointName);
     field("reason", value.reason);
-    if (value.queuedAt != time_point {}) {
+    if (value.queuedAt != time_point{}) {
         line << " waited_us=" << (value.at - value.queuedAt).count();
     }
     line << " configuration=" << value.configuration << " waiting=" << value.waiting[0] << '/' << value.waiting[1] << '/' << value.waiting[2];
--- a/src/evidence/decision.h
+++ b/src/evidence/decision.h
@@ -61,7 +61,7 @@
     time_point queuedAt;
     log_offset configuration = 0;
     /// Work that waited at the moment of the decision, by tier.
-    std::array<std::uint32_t, tierCount> waiting {};
+    std::array<std::uint32_t, tierCount> waiting{};
     double tokens = 0;
 
     auto operator<=>(const decision &) const = default;
--- a/src/evidence/evidence_chain.cpp
+++ b/src/evidence/evidence_chain.cpp
@@ -14,7 +14,7 @@
 
 std::string sha256(const std::string &text)
 {
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned int length = 0;
     EVP_Digest(text.data(), text.size(), digest.data(), &length, EVP_sha256(), nullptr);
     return absl::BytesToHexString(absl::string_view(reinterpret_cast<const char *>(digest.data()), length));
@@ -84,13 +84,13 @@
 
 std::string evidence_chain::seal(const std::vector<decision> &decisions)
 {
-    const evidence_batch batch {.instance = m_instance,
-                                .incarnation = m_incarnation,
-                                .first = m_next,
-                                .lostBefore = m_lost,
-                                .previousHash = m_hash,
-                                .hash = {},
-                                .decisions = decisions};
+    const evidence_batch batch{.instance = m_instance,
+                               .incarnation = m_incarnation,
+                               .first = m_next,
+                               .lostBefore = m_lost,
+                               .previousHash = m_hash,
+                               .hash = {},
+                               .decisions = decisions};
     json record = contentOf(batch);
     m_hash = sha256(record.dump());
     m_next += decisions.size();
@@ -112,13 +112,13 @@
         return std::nullopt;
     }
     try {
-        evidence_batch batch {.instance = parsed.at("instance").get<std::string>(),
-                              .incarnation = parsed.at("incarnation").get<std::uint64_t>(),
-                              .first = parsed.at("first").get<std::uint64_t>(),
-                              .lostBefore = parsed.at("lostBefore").get<std::uint64_t>(),
-                              .previousHash = parsed.at("previousHash").get<std::string>(),
-                              .hash = parsed.at("hash").get<std::string>(),
-                              .decisions = {}};
+        evidence_batch batch{.instance = parsed.at("instance").get<std::string>(),
+                             .incarnation = parsed.at("incarnation").get<std::uint64_t>(),
+                             .first = parsed.at("first").get<std::uint64_t>(),
+                             .lostBefore = parsed.at("lostBefore").get<std::uint64_t>(),
+                             .previousHash = parsed.at("previousHash").get<std::string>(),
+                             .hash = parsed.at("hash").get<std::string>(),
+                             .decisions = {}};
         for (const auto &item : parsed.at("decisions")) {
             batch.decisions.push_back(fromJson(item));
         }
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -34,7 +34,7 @@
 log_offset http_log_service::append(const std::string &stream, const std::vector<std::string> &records)
 {
     const std::string url = m_baseUrl + "/v1/streams/" + stream + "/records";
-    const json body {{"records", records}};
+    const json body{{"records", records}};
     try {
         return parseReply(m_client.post(url, body.dump(), callTimeout), "log append").at("offset").get<log_offset>();
     } catch (const json::exception &error) {
@@ -49,7 +49,7 @@
     const http_reply reply = m_client.get(url, callTimeout + wait);
     try {
         const json parsed = parseReply(reply, "log read");
-        log_page page {.firstRetained = parsed.at("first").get<log_offset>(), .next = parsed.at("next").get<log_offset>(), .records = {}};
+        log_page page{.firstRetained = parsed.at("first").get<log_offset>(), .next = parsed.at("next").get<log_offset>(), .records = {}};
         for (const auto &item : parsed.at("records")) {
             page.records.push_back({.offset = item.at("offset").get<log_offset>(), .data = item.at("data").get<std::string>()});
         }
@@ -88,14 +88,14 @@
 
 void http_instance_list::announce(const instance_row &row)
 {
-    const json body {{"name", row.name},
-                     {"role", row.role},
-                     {"endpoint", row.endpointName},
-                     {"zone", row.zone},
-                     {"address", row.address},
-                     {"port", row.port},
-                     {"adminPort", row.adminPort},
-                     {"leaving", row.leaving}};
+    const json body{{"name", row.name},
+                    {"role", row.role},
+                    {"endpoint", row.endpointName},
+                    {"zone", row.zone},
+                    {"address", row.address},
+                    {"port", row.port},
+                    {"adminPort", row.adminPort},
+                    {"leaving", row.leaving}};
     parseReply(m_client.post(m_baseUrl + "/v1/instances", body.dump(), callTimeout), "instance list");
 }
 
--- a/src/request/claim_table.cpp
+++ b/src/request/claim_table.cpp
@@ -12,7 +12,7 @@
 
 json keyFields(const char *type, const claim_key &key)
 {
-    return json {{"type", type}, {"workspace", key.workspaceName}, {"key", key.key}};
+    return json{{"type", type}, {"workspace", key.workspaceName}, {"key", key.key}};
 }
 
 claim parseClaim(const json &record, const claim_key &key)
@@ -76,21 +76,21 @@
     m_offset = record.offset;
     try {
         const json parsed = json::parse(record.data);
-        const claim_key key {.workspaceName = parsed.at("workspace").get<std::string>(), .key = parsed.at("key").get<std::string>()};
+        const claim_key key{.workspaceName = parsed.at("workspace").get<std::string>(), .key = parsed.at("key").get<std::string>()};
         const auto type = parsed.at("type").get<std::string>();
         const auto held = m_held.find(key);
         if (type == "claim") {
             const claim tried = parseClaim(parsed, key);
-            m_held.try_emplace(key, held_claim {.value = tried, .offset = record.offset, .outcome = std::nullopt});
+            m_held.try_emplace(key, held_claim{.value = tried, .offset = record.offset, .outcome = std::nullopt});
             return tried;
         }
         const bool isCurrent = held != m_held.end() && held->second.offset == parsed.at("claim").get<log_offset>() && !held->second.outcome;
         if (type == "void" && isCurrent) {
             m_held.erase(held);
         } else if (type == "outcome" && isCurrent) {
-            held->second.outcome = claim_outcome {.httpStatus = parsed.at("status").get<int>(),
-                                                  .contentType = parsed.at("content_type").get<std::string>(),
-                                                  .body = decodeBody(parsed.at("body"))};
+            held->second.outcome = claim_outcome{.httpStatus = parsed.at("status").get<int>(),
+                                                 .contentType = parsed.at("content_type").get<std::string>(),
+                                                 .body = decodeBody(parsed.at("body"))};
         }
     } catch (const json::exception &) {
         // A record that cannot be read claims nothing; every reader skips it alike.
--- a/src/request/entry_claims.cpp
+++ b/src/request/entry_claims.cpp
@@ -41,7 +41,7 @@
     }
     if (held->outcome) {
         note(event_number::request_answered, current, "recorded_outcome");
-        m_actions.emplace_back(answer_whole {
+        m_actions.emplace_back(answer_whole{
             .caller = current.caller, .httpStatus = held->outcome->httpStatus, .contentType = held->outcome->contentType, .body = held->outcome->body});
         close(current);
         return;
@@ -54,7 +54,7 @@
     const request_id owner = held.value.attempt.request;
     if (owner == attemptOf(current).request) {
         // An older attempt of this same request holds the key. It never started, so voiding it is truthful, and the caller may come back.
-        m_actions.emplace_back(append_claim {makeVoidRecord(held.value.key, held.offset)});
+        m_actions.emplace_back(append_claim{makeVoidRecord(held.value.key, held.offset)});
         finishWithError(current, error_kind::claim_log_unavailable, "an older claim of this request is being voided", claimRetryAfter);
         return;
     }
@@ -70,18 +70,18 @@
     current.state = request_state::inquiring;
     current.inquired = held;
     current.deadline = m_now + m_options.resolveTimeout;
-    send(view->name, fate_query {.id = held.value.attempt, .endpointIncarnation = held.value.endpointIncarnation});
+    send(view->name, fate_query{.id = held.value.attempt, .endpointIncarnation = held.value.endpointIncarnation});
 }
 
 void entry_core::bindWithClaim(request &current)
 {
     current.state = request_state::claiming;
     current.deadline = m_now + m_options.claimTimeout;
-    m_actions.emplace_back(append_claim {makeClaimRecord({.key = keyOf(current),
-                                                          .fingerprint = current.routed.fingerprint,
-                                                          .attempt = attemptOf(current),
-                                                          .endpointName = current.boundEndpoint,
-                                                          .endpointIncarnation = current.boundIncarnation})});
+    m_actions.emplace_back(append_claim{makeClaimRecord({.key = keyOf(current),
+                                                         .fingerprint = current.routed.fingerprint,
+                                                         .attempt = attemptOf(current),
+                                                         .endpointName = current.boundEndpoint,
+                                                         .endpointIncarnation = current.boundIncarnation})});
 }
 
 void entry_core::on(const claims_available &event)
@@ -109,13 +109,13 @@
         // The request was given up while its claim was on the way. Its start was never sent, and never will be.
         const bool isStarted = current != nullptr && current->hasStarted;
         if (hasWon && !isStarted) {
-            m_actions.emplace_back(append_claim {makeVoidRecord(tried.key, record.offset)});
+            m_actions.emplace_back(append_claim{makeVoidRecord(tried.key, record.offset)});
         }
         return;
     }
     if (!hasWon) {
         note(event_number::claim_lost, *current, "another_claim_was_first");
-        send(current->boundEndpoint, withdraw {.id = attemptOf(*current), .reason = static_cast<std::uint8_t>(withdraw_reason::refused)});
+        send(current->boundEndpoint, withdraw{.id = attemptOf(*current), .reason = static_cast<std::uint8_t>(withdraw_reason::refused)});
         current->boundEndpoint.clear();
         admitKeyed(*current);
         return;
@@ -134,7 +134,7 @@
 void entry_core::voidClaim(request &current)
 {
     if (current.claimOffset != 0) {
-        m_actions.emplace_back(append_claim {makeVoidRecord(keyOf(current), current.claimOffset)});
+        m_actions.emplace_back(append_claim{makeVoidRecord(keyOf(current), current.claimOffset)});
         current.claimOffset = 0;
     }
 }
@@ -142,7 +142,7 @@
 void entry_core::queryFate(request &current)
 {
     current.nextQuery = m_now + fateQueryInterval;
-    send(current.boundEndpoint, fate_query {.id = attemptOf(current), .endpointIncarnation = current.boundIncarnation});
+    send(current.boundEndpoint, fate_query{.id = attemptOf(current), .endpointIncarnation = current.boundIncarnation});
 }
 
 void entry_core::onMessage(const endpoint_view &, const fate_answer &reply)
@@ -187,14 +187,14 @@
     switch (static_cast<fate>(reply.state)) {
     case fate::never_started:
         // The endpoint process has barred the attempt, so the claim can be voided and this request may claim the key itself.
-        m_actions.emplace_back(append_claim {makeVoidRecord(held.value.key, held.offset)});
+        m_actions.emplace_back(append_claim{makeVoidRecord(held.value.key, held.offset)});
         place(current);
         return;
     case fate::running:
         finishWithError(current, error_kind::operation_in_progress, "the operation is still running", inProgressRetryAfter);
         return;
     case fate::ended:
-        m_actions.emplace_back(append_claim {makeOutcomeRecord(
+        m_actions.emplace_back(append_claim{makeOutcomeRecord(
             held.value.key, held.offset, {.httpStatus = reply.outcome.httpStatus, .contentType = reply.outcome.contentType, .body = reply.outcome.body})});
         complete(current, reply.outcome);
         return;
@@ -215,7 +215,7 @@
     }
     const bool isLate = m_now >= current.deadline;
     if (current.state == request_state::claiming && isLate) {
-        send(current.boundEndpoint, withdraw {.id = attemptOf(current), .reason = static_cast<std::uint8_t>(withdraw_reason::refused)});
+        send(current.boundEndpoint, withdraw{.id = attemptOf(current), .reason = static_cast<std::uint8_t>(withdraw_reason::refused)});
         finishWithError(current, error_kind::claim_log_unavailable, "the claim did not come back from the log in time", claimRetryAfter);
     } else if (current.state == request_state::resolving && isLate) {
         finishWithError(current, error_kind::outcome_unknown, "the endpoint process did not come back in time", duration::zero());
--- a/src/request/entry_core.cpp
+++ b/src/request/entry_core.cpp
@@ -36,7 +36,7 @@
 
 void entry_core::on(const caller_arrived &event)
 {
-    request fresh {.caller = event.caller, .routed = event.request, .arrivedAt = m_now};
+    request fresh{.caller = event.caller, .routed = event.request, .arrivedAt = m_now};
     auto &current = m_requests.insert_or_assign(event.caller, fresh).first->second;
     note(event_number::request_taken, current, current.routed.idempotent ? "idempotent" : "non_idempotent");
     if (m_isLeaving) {
@@ -65,9 +65,9 @@
     }
     withdrawAll(current, withdraw_reason::caller_gone);
     if (current.state == request_state::running) {
-        send(current.boundEndpoint, cancel {.id = attemptOf(current)});
+        send(current.boundEndpoint, cancel{.id = attemptOf(current)});
     } else if (current.state == request_state::claiming) {
-        send(current.boundEndpoint, withdraw {.id = attemptOf(current), .reason = static_cast<std::uint8_t>(withdraw_reason::caller_gone)});
+        send(current.boundEndpoint, withdraw{.id = attemptOf(current), .reason = static_cast<std::uint8_t>(withdraw_reason::caller_gone)});
     }
     note(event_number::request_cut, current, "caller_left");
     close(current);
@@ -173,7 +173,7 @@
     request *current = findCurrent(reply.id);
     const bool isWanted = current != nullptr && current->state == request_state::waiting && current->reservedAt.contains(from.name);
     if (!isWanted) {
-        send(from.name, withdraw {.id = reply.id, .reason = static_cast<std::uint8_t>(withdraw_reason::bound_elsewhere)});
+        send(from.name, withdraw{.id = reply.id, .reason = static_cast<std::uint8_t>(withdraw_reason::bound_elsewhere)});
         return;
     }
     withdrawAll(*current, withdraw_reason::bound_elsewhere, from.name);
@@ -228,13 +228,13 @@
     if (reply.offset != current->forwarded) {
         // A gap or a repeat would splice the answer.
         if (reply.offset > current->forwarded) {
-            send(from.name, cancel {.id = reply.id});
+            send(from.name, cancel{.id = reply.id});
             retryOrFail(*current, "gap in the answer");
         }
         return;
     }
     current->forwarded += reply.events;
-    m_actions.emplace_back(answer_chunk {.caller = current->caller, .data = reply.data});
+    m_actions.emplace_back(answer_chunk{.caller = current->caller, .data = reply.data});
 }
 
 void entry_core::onMessage(const endpoint_view &from, const finished &reply)
@@ -268,15 +268,15 @@
     m_ranker.onBound(routed.prefixHash, current.boundEndpoint);
     note(event_number::offer_bound, current, "first_offer");
     send(current.boundEndpoint,
-         start {.id = attemptOf(current),
-                .endpointIncarnation = current.boundIncarnation,
-                .method = routed.method,
-                .path = routed.path,
-                .contentType = routed.contentType,
-                .body = routed.body,
-                .streaming = routed.streaming,
-                .idempotent = routed.idempotent,
-                .resumeFrom = current.forwarded});
+         start{.id = attemptOf(current),
+               .endpointIncarnation = current.boundIncarnation,
+               .method = routed.method,
+               .path = routed.path,
+               .contentType = routed.contentType,
+               .body = routed.body,
+               .streaming = routed.streaming,
+               .idempotent = routed.idempotent,
+               .resumeFrom = current.forwarded});
 }
 
 void entry_core::moveElsewhere(request &current)
@@ -315,14 +315,14 @@
         const bool isBoundHere = current.boundEndpoint == endpointName;
         if (current.state == request_state::waiting) {
             if (!connectionLost && current.reservedAt.contains(endpointName)) {
-                send(endpointName, withdraw {.id = attemptOf(current), .reason = static_cast<std::uint8_t>(withdraw_reason::refused)});
+                send(endpointName, withdraw{.id = attemptOf(current), .reason = static_cast<std::uint8_t>(withdraw_reason::refused)});
             }
             dropReservation(current, endpointName);
         } else if (current.state == request_state::claiming && isBoundHere) {
             current.offerLost = true;
         } else if (current.state == request_state::running && isBoundHere && current.routed.idempotent) {
             if (!connectionLost) {
-                send(endpointName, cancel {.id = attemptOf(current)});
+                send(endpointName, cancel{.id = attemptOf(current)});
             }
             retryOrFail(current, "endpoint lost");
         } else if (current.state == request_state::running && isBoundHere && connectionLost) {
@@ -338,7 +338,7 @@
 void entry_core::complete(request &current, const finished &outcome)
 {
     if (isKeyed(current) && current.claimOffset != 0) {
-        m_actions.emplace_back(append_claim {makeOutcomeRecord(
+        m_actions.emplace_back(append_claim{makeOutcomeRecord(
             keyOf(current), current.claimOffset, {.httpStatus = outcome.httpStatus, .contentType = outcome.contentType, .body = outcome.body})});
     }
     if (outcome.httpStatus < firstServerError) {
@@ -346,10 +346,10 @@
     }
     note(event_number::request_answered, current, std::to_string(outcome.httpStatus));
     if (current.forwarded > 0) {
-        m_actions.emplace_back(answer_end {.caller = current.caller});
+        m_actions.emplace_back(answer_end{.caller = current.caller});
     } else {
         m_actions.emplace_back(
-            answer_whole {.caller = current.caller, .httpStatus = outcome.httpStatus, .contentType = outcome.contentType, .body = outcome.body});
+            answer_whole{.caller = current.caller, .httpStatus = outcome.httpStatus, .contentType = outcome.contentType, .body = outcome.body});
     }
     close(current);
 }
@@ -371,7 +371,7 @@
 {
     withdrawAll(current, withdraw_reason::refused);
     note(event_number::request_refused, current, std::string(answerFor(kind).name));
-    m_actions.emplace_back(answer_error {.caller = current.caller, .kind = kind, .detail = detail, .retryAfter = retryAfter});
+    m_actions.emplace_back(answer_error{.caller = current.caller, .kind = kind, .detail = detail, .retryAfter = retryAfter});
     close(current);
 }
 
@@ -379,7 +379,7 @@
 {
     withdrawAll(current, withdraw_reason::refused);
     note(event_number::request_cut, current, "stream_cut");
-    m_actions.emplace_back(answer_cut {.caller = current.caller});
+    m_actions.emplace_back(answer_cut{.caller = current.caller});
     close(current);
 }
 
@@ -419,26 +419,26 @@
 {
     const endpoint_view *view = m_directory.find(endpointName);
     if (view != nullptr && view->connected) {
-        m_actions.emplace_back(send_to_peer {.peer = view->peer, .content = std::move(content)});
+        m_actions.emplace_back(send_to_peer{.peer = view->peer, .content = std::move(content)});
     }
 }
 
 void entry_core::note(event_number event, const request &current, const std::string &reason)
 {
     const auto declared = m_configuration.classes.find(current.routed.className);
-    m_actions.emplace_back(decision {.event = event,
-                                     .at = m_now,
-                                     .request = attemptOf(current).request,
-                                     .attempt = current.attempt,
-                                     .className = current.routed.className,
-                                     .tier = declared == m_configuration.classes.end() ? 0 : declared->second.value.tier,
-                                     .workspaceName = current.routed.workspaceName,
-                                     .endpointName = current.boundEndpoint,
-                                     .reason = reason,
-                                     .queuedAt = current.arrivedAt,
-                                     .configuration = m_configuration.offset,
-                                     .waiting = {},
-                                     .tokens = static_cast<double>(current.forwarded)});
+    m_actions.emplace_back(decision{.event = event,
+                                    .at = m_now,
+                                    .request = attemptOf(current).request,
+                                    .attempt = current.attempt,
+                                    .className = current.routed.className,
+                                    .tier = declared == m_configuration.classes.end() ? 0 : declared->second.value.tier,
+                                    .workspaceName = current.routed.workspaceName,
+                                    .endpointName = current.boundEndpoint,
+                                    .reason = reason,
+                                    .queuedAt = current.arrivedAt,
+                                    .configuration = m_configuration.offset,
+                                    .waiting = {},
+                                    .tokens = static_cast<double>(current.forwarded)});
 }
 
 bool entry_core::isIdle() const
--- a/src/request/entry_core.h
+++ b/src/request/entry_core.h
@@ -110,7 +110,7 @@
     caller_id caller = 0;
     error_kind kind = error_kind::overloaded;
     std::string detail;
-    duration retryAfter {};
+    duration retryAfter{};
 };
 
 /// Forward part of a stream. The first part begins the answer.
@@ -279,7 +279,7 @@
     std::set<std::string> m_usable;
     bool m_claimsAvailable = false;
     bool m_isLeaving = false;
-    time_point m_now {};
+    time_point m_now{};
     std::vector<entry_action> m_actions;
 };
 
--- a/src/request/entry_placement.cpp
+++ b/src/request/entry_placement.cpp
@@ -67,12 +67,12 @@
     current.reservedAt.insert(endpointName);
     m_ranker.onReserved(endpointName);
     send(endpointName,
-         reserve {.id = attemptOf(current),
-                  .className = current.routed.className,
-                  .workspaceName = current.routed.workspaceName,
-                  .waitedMicroseconds = waited.count(),
-                  .promptTokens = current.routed.promptTokens,
-                  .idempotent = current.routed.idempotent});
+         reserve{.id = attemptOf(current),
+                 .className = current.routed.className,
+                 .workspaceName = current.routed.workspaceName,
+                 .waitedMicroseconds = waited.count(),
+                 .promptTokens = current.routed.promptTokens,
+                 .idempotent = current.routed.idempotent});
 }
 
 void entry_core::spread(request &current)
@@ -124,7 +124,7 @@
 {
     for (const auto &name : std::exchange(current.reservedAt, {})) {
         if (name != except) {
-            send(name, withdraw {.id = attemptOf(current), .reason = static_cast<std::uint8_t>(reason)});
+            send(name, withdraw{.id = attemptOf(current), .reason = static_cast<std::uint8_t>(reason)});
         }
     }
     current.planned.clear();
--- a/src/request/router.cpp
+++ b/src/request/router.cpp
@@ -127,7 +127,7 @@
 
 std::string sha256Hex(const std::string &text)
 {
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned int length = 0;
     EVP_Digest(text.data(), text.size(), digest.data(), &length, EVP_sha256(), nullptr);
     constexpr std::string_view digits = "0123456789abcdef";
--- a/src/transport/handshake.cpp
+++ b/src/transport/handshake.cpp
@@ -21,7 +21,7 @@
 
 std::string hmacHex(const std::string &secret, const std::string &text)
 {
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned int length = 0;
     HMAC(EVP_sha256(),
          secret.data(),
@@ -59,7 +59,7 @@
 
 std::string makeNonce()
 {
-    std::array<unsigned char, nonceBytes> bytes {};
+    std::array<unsigned char, nonceBytes> bytes{};
     if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1) {
         throw shunt_error(error_kind::peer_rejected, "no random bytes for a nonce");
     }
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -62,7 +62,7 @@
 MHD_Response *makeResponse(const server_reply &reply)
 {
     if (reply.stream) {
-        auto *state = new stream_state {.next = reply.stream, .pending = {}};
+        auto *state = new stream_state{.next = reply.stream, .pending = {}};
         return MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, streamBlock, readStream, state, freeStream);
     }
     // The library copies the body, so the reply may go away.
@@ -86,7 +86,7 @@
                                 void **requestContext)
     {
         if (*requestContext == nullptr) {
-            *requestContext = new server_request {.method = method, .path = url, .query = {}, .headers = {}, .body = {}};
+            *requestContext = new server_request{.method = method, .path = url, .query = {}, .headers = {}, .body = {}};
             return MHD_YES;
         }
         auto *request = static_cast<server_request *>(*requestContext);
@@ -121,7 +121,7 @@
 http_server::http_server(const std::string &address, int port, handler serve)
     : m_implementation(std::make_unique<implementation>())
 {
-    sockaddr_in socketAddress {};
+    sockaddr_in socketAddress{};
     socketAddress.sin_family = AF_INET;
     socketAddress.sin_port = htons(static_cast<std::uint16_t>(port));
     inet_pton(AF_INET, address.c_str(), &socketAddress.sin_addr);
--- a/src/transport/peer_hub.cpp
+++ b/src/transport/peer_hub.cpp
@@ -23,13 +23,13 @@
 constexpr int listenBacklog = 1024;
 constexpr std::size_t readSize = 65536;
 constexpr std::uint64_t listenerTag = 0;
-constexpr std::uint64_t wakeupTag = ~std::uint64_t {0};
+constexpr std::uint64_t wakeupTag = ~std::uint64_t{0};
 constexpr duration longestDrain = std::chrono::seconds(1);
 constexpr duration fullRingPause = std::chrono::milliseconds(1);
 
 sockaddr_in toSocketAddress(const peer_address &address)
 {
-    sockaddr_in socketAddress {};
+    sockaddr_in socketAddress{};
     socketAddress.sin_family = AF_INET;
     socketAddress.sin_port = htons(static_cast<std::uint16_t>(address.port));
     if (inet_pton(AF_INET, address.host.c_str(), &socketAddress.sin_addr) != 1) {
@@ -95,11 +95,11 @@
 {
     m_epoll = epoll_create1(EPOLL_CLOEXEC);
     m_wakeup = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-    epoll_event wakeup {.events = EPOLLIN, .data = {.u64 = wakeupTag}};
+    epoll_event wakeup{.events = EPOLLIN, .data = {.u64 = wakeupTag}};
     epoll_ctl(m_epoll, EPOLL_CTL_ADD, m_wakeup, &wakeup);
     if (m_options.listen.port != 0) {
         m_listener = openListener(m_options.listen);
-        epoll_event listener {.events = EPOLLIN, .data = {.u64 = listenerTag}};
+        epoll_event listener{.events = EPOLLIN, .data = {.u64 = listenerTag}};
         epoll_ctl(m_epoll, EPOLL_CTL_ADD, m_listener, &listener);
     }
 }
@@ -161,7 +161,7 @@
 void peer_hub::run()
 {
     constexpr int batch = 64;
-    std::array<epoll_event, batch> events {};
+    std::array<epoll_event, batch> events{};
     time_point drainUntil = time_point::max();
     while (true) {
         const int count = epoll_wait(m_epoll, events.data(), batch, pollIntervalMs);
@@ -247,7 +247,7 @@
         fresh->socket = socket;
         fresh->state = connection::stage::awaiting_hello;
         fresh->openedAt = fresh->lastHeard = m_clock.now();
-        epoll_event event {.events = EPOLLIN, .data = {.u64 = fresh->id}};
+        epoll_event event{.events = EPOLLIN, .data = {.u64 = fresh->id}};
         epoll_ctl(m_epoll, EPOLL_CTL_ADD, socket, &event);
         m_connections.emplace(fresh->id, std::move(fresh));
     }
@@ -289,7 +289,7 @@
     fresh->target = address;
     fresh->openedAt = fresh->lastHeard = m_clock.now();
     fresh->wantsWrite = true;
-    epoll_event event {.events = EPOLLIN | EPOLLOUT, .data = {.u64 = fresh->id}};
+    epoll_event event{.events = EPOLLIN | EPOLLOUT, .data = {.u64 = fresh->id}};
     epoll_ctl(m_epoll, EPOLL_CTL_ADD, socket, &event);
     m_connections.emplace(fresh->id, std::move(fresh));
 }
@@ -301,7 +301,7 @@
         return;
     }
     peer.wantsWrite = wantsWrite;
-    epoll_event event {.events = wantsWrite ? EPOLLIN | EPOLLOUT : EPOLLIN, .data = {.u64 = peer.id}};
+    epoll_event event{.events = wantsWrite ? EPOLLIN | EPOLLOUT : EPOLLIN, .data = {.u64 = peer.id}};
     epoll_ctl(m_epoll, EPOLL_CTL_MOD, peer.socket, &event);
 }
 
@@ -412,7 +412,7 @@
             return;
         }
         peer.identity = {.instance = reply->instance, .endpointName = reply->endpointName, .incarnation = reply->incarnation};
-        enqueue(peer, hello_proof {.proof = proveDialler(*key, peer.ownHello, *reply)});
+        enqueue(peer, hello_proof{.proof = proveDialler(*key, peer.ownHello, *reply)});
         establish(peer);
         write(peer);
         return;
--- a/src/transport/peer_hub.h
+++ b/src/transport/peer_hub.h
@@ -131,8 +131,8 @@
     int m_wakeup = -1;
     int m_listener = -1;
     std::thread m_thread;
-    std::atomic<bool> m_isStopping {false};
-    std::atomic<bool> m_isWakeupPending {false};
+    std::atomic<bool> m_isStopping{false};
+    std::atomic<bool> m_isWakeupPending{false};
     bounded_ring<command> m_commands;
     peer_id m_nextPeer = 1;
     std::map<peer_id, std::unique_ptr<connection>> m_connections;
--- /dev/null
+++ b/test/endpoint_core_test.cpp
@@ -0,0 +1,190 @@
+// The decisions of an endpoint process.
+#include "endpoint/endpoint_core.h"
+
+#include "support.h"
+
+#include <gtest/gtest.h>
+
+namespace wisteriashunt
+{
+namespace
+{
+
+using testing::makeAttempt;
+using testing::makeClass;
+using testing::makeState;
+using testing::start_of_time;
+
+constexpr peer_id entryPeer = 1;
+constexpr std::uint64_t incarnation = 42;
+
+class endpoint_core_test : public ::testing::Test
+{
+protected:
+    endpoint_core_test()
+    {
+        handle(configuration_changed{makeState({makeClass("high", 1), makeClass("low", 3)})});
+    }
+
+    std::vector<endpoint_action> handle(const endpoint_event &event)
+    {
+        return m_core.handle(m_now, event);
+    }
+
+    std::vector<endpoint_action> reserveWork(std::uint64_t sequence, const std::string &className = "high", bool idempotent = true)
+    {
+        return handle(peer_message{entryPeer, reserve{.id = makeAttempt(sequence), .className = className, .workspaceName = "w", .idempotent = idempotent}});
+    }
+
+    std::vector<endpoint_action> startWork(std::uint64_t sequence, bool idempotent = true, std::uint64_t named = incarnation)
+    {
+        return handle(peer_message{entryPeer, start{.id = makeAttempt(sequence), .endpointIncarnation = named, .streaming = true, .idempotent = idempotent}});
+    }
+
+    /// Takes all slots.
+    void fill()
+    {
+        for (std::uint64_t i = 100; i < 102; ++i) {
+            reserveWork(i);
+            startWork(i);
+        }
+    }
+
+    template<typename T>
+    static std::vector<T> sent(const std::vector<endpoint_action> &actions)
+    {
+        return testing::sent<T, send_to_peer>(actions);
+    }
+
+    time_point m_now = start_of_time;
+    endpoint_core m_core{
+        endpoint_core_options{.endpointName = "e1", .incarnation = incarnation, .limiter = {.initial = 2, .minimum = 2, .maximum = 2}, .ledger = {}}};
+};
+
+TEST_F(endpoint_core_test, OffersAFreeSlotAtOnce)
+{
+    EXPECT_EQ(sent<offer>(reserveWork(1)).size(), 1U);
+}
+
+TEST_F(endpoint_core_test, SaysThatWorkIsQueuedWhenNoSlotIsFree)
+{
+    fill();
+    const auto actions = reserveWork(1);
+    EXPECT_EQ(sent<queued>(actions).size(), 1U);
+    EXPECT_TRUE(sent<offer>(actions).empty());
+}
+
+TEST_F(endpoint_core_test, OffersAFreedSlotToTheHighestTier)
+{
+    fill();
+    reserveWork(1, "low");
+    reserveWork(2, "high");
+    const auto offers = sent<offer>(handle(upstream_finished{finished{.id = makeAttempt(100), .httpStatus = 200}}));
+    ASSERT_EQ(offers.size(), 1U);
+    EXPECT_EQ(offers[0].id, makeAttempt(2));
+}
+
+TEST_F(endpoint_core_test, StartsOnlyAgainstItsOwnOffer)
+{
+    const auto actions = startWork(1);
+    EXPECT_EQ(sent<refused>(actions).size(), 1U);
+    EXPECT_TRUE(testing::only<start_upstream>(actions).empty());
+}
+
+TEST_F(endpoint_core_test, RefusesAStartThatNamesAnOlderIncarnation)
+{
+    reserveWork(1);
+    const auto actions = startWork(1, true, incarnation - 1);
+    EXPECT_EQ(sent<refused>(actions).size(), 1U);
+    EXPECT_TRUE(testing::only<start_upstream>(actions).empty());
+}
+
+TEST_F(endpoint_core_test, BarsAnAttemptWhoseFateWasAsked)
+{
+    reserveWork(1, "high", false);
+    const auto answers = sent<fate_answer>(handle(peer_message{entryPeer, fate_query{.id = makeAttempt(1), .endpointIncarnation = incarnation}}));
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(static_cast<fate>(answers[0].state), fate::never_started);
+    EXPECT_TRUE(testing::only<start_upstream>(startWork(1, false)).empty());
+}
+
+TEST_F(endpoint_core_test, AnswersUnknownForAnotherIncarnation)
+{
+    const auto answers = sent<fate_answer>(handle(peer_message{entryPeer, fate_query{.id = makeAttempt(1), .endpointIncarnation = incarnation - 1}}));
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(static_cast<fate>(answers[0].state), fate::unknown);
+}
+
+TEST_F(endpoint_core_test, TakesBackAnOfferThatNobodyAnswers)
+{
+    reserveWork(1);
+    m_now += std::chrono::seconds(1);
+    EXPECT_EQ(sent<refused>(handle(tick{})).size(), 1U);
+    EXPECT_TRUE(m_core.isIdle());
+}
+
+TEST_F(endpoint_core_test, KeepsANonIdempotentAttemptRunningWhenItsEntryIsLost)
+{
+    reserveWork(1, "high", false);
+    startWork(1, false);
+    EXPECT_TRUE(testing::only<cancel_upstream>(handle(peer_lost{entryPeer})).empty());
+    handle(upstream_finished{finished{.id = makeAttempt(1), .httpStatus = 200, .body = "ok"}});
+    const auto answers = sent<fate_answer>(handle(peer_message{2, fate_query{.id = makeAttempt(1), .endpointIncarnation = incarnation}}));
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].outcome.body, "ok");
+}
+
+TEST_F(endpoint_core_test, CancelsAnIdempotentAttemptWhenItsEntryIsLost)
+{
+    reserveWork(1);
+    startWork(1);
+    EXPECT_EQ(testing::only<cancel_upstream>(handle(peer_lost{entryPeer})).size(), 1U);
+}
+
+TEST_F(endpoint_core_test, RefusesNewAndWaitingWorkOnceItLeaves)
+{
+    fill();
+    reserveWork(1);
+    EXPECT_EQ(sent<refused>(handle(leave_requested{})).size(), 1U);
+    EXPECT_EQ(sent<refused>(reserveWork(2)).size(), 1U);
+    EXPECT_FALSE(m_core.isIdle());
+}
+
+TEST_F(endpoint_core_test, TakesNoWorkBeforeItHasAConfiguration)
+{
+    endpoint_core fresh(endpoint_core_options{.endpointName = "e1"});
+    const auto actions = fresh.handle(m_now, peer_message{entryPeer, reserve{.id = makeAttempt(1), .className = "high"}});
+    const auto refusals = sent<refused>(actions);
+    ASSERT_EQ(refusals.size(), 1U);
+    EXPECT_EQ(static_cast<error_kind>(refusals[0].kind), error_kind::not_ready);
+}
+
+TEST_F(endpoint_core_test, NeverGoesBackToAnOlderConfiguration)
+{
+    handle(configuration_changed{makeState({makeClass("new", 1)}, 9)});
+    handle(configuration_changed{makeState({makeClass("old", 1)}, 5)});
+    EXPECT_EQ(m_core.status(m_now).configuration, 9U);
+    EXPECT_NE(m_core.queue().findClass("new"), nullptr);
+}
+
+TEST_F(endpoint_core_test, FailsAStreamThatFallsSilent)
+{
+    reserveWork(1);
+    startWork(1);
+    m_now += std::chrono::seconds(11);
+    const auto actions = handle(tick{});
+    EXPECT_EQ(sent<failed>(actions).size(), 1U);
+    EXPECT_EQ(testing::only<cancel_upstream>(actions).size(), 1U);
+}
+
+TEST_F(endpoint_core_test, CallsARequestThatNeverReachedTheBackEndNotRun)
+{
+    reserveWork(1, "high", false);
+    startWork(1, false);
+    const auto actions = handle(upstream_failed{.id = makeAttempt(1), .reached = false, .detail = "connection refused"});
+    EXPECT_EQ(sent<refused>(actions).size(), 1U);
+    EXPECT_TRUE(sent<failed>(actions).empty());
+}
+
+} // namespace
+} // namespace wisteriashunt
--- /dev/null
+++ b/test/load_cases_test.cpp
@@ -0,0 +1,25 @@
+// The stated targets of the load cases, on the virtual clock with a fixed seed.
+#include "load/cases.h"
+
+#include <gtest/gtest.h>
+
+namespace wisteriashunt::load
+{
+namespace
+{
+
+class load_cases_test : public ::testing::TestWithParam<const char *>
+{
+};
+
+TEST_P(load_cases_test, MeetsItsTargets)
+{
+    const auto outcome = runCases({.only = GetParam(), .firstSeed = 1, .seeds = 1, .isQuiet = true});
+    EXPECT_EQ(outcome.missed, 0);
+    EXPECT_GT(outcome.met, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(stated, load_cases_test, ::testing::Values("overload", "flood", "straggler", "crash", "goodput"));
+
+} // namespace
+} // namespace wisteriashunt::load
--- /dev/null
+++ b/test/shedding_test.cpp
@@ -0,0 +1,99 @@
+// Who gives way when a target cannot be met.
+#include "endpoint/shedding.h"
+
+#include "support.h"
+
+#include <gtest/gtest.h>
+
+namespace wisteriashunt
+{
+namespace
+{
+
+using testing::makeAttempt;
+using testing::makeClass;
+using testing::makeState;
+using testing::start_of_time;
+
+class shedding_test : public ::testing::Test
+{
+protected:
+    void add(std::uint64_t sequence, const std::string &className, duration budget, const std::string &workspaceName = "w")
+    {
+        const time_point arrived = start_of_time + std::chrono::microseconds(sequence);
+        m_queue.add(
+            {.id = makeAttempt(sequence), .className = className, .workspaceName = workspaceName, .arrivedAt = arrived, .latestStart = arrived + budget});
+    }
+
+    std::vector<std::uint64_t> shedAt(duration offset)
+    {
+        std::vector<std::uint64_t> sequences;
+        for (const auto &shed : selectShedWork(start_of_time + offset, m_queue, m_predictor)) {
+            sequences.push_back(shed.work.id.request.sequence);
+        }
+        return sequences;
+    }
+
+    work_queue m_queue;
+    wait_predictor m_predictor;
+};
+
+TEST_F(shedding_test, RefusesNothingWithinTheBudget)
+{
+    m_queue.configure(makeState({makeClass("only", 1)}));
+    add(1, "only", std::chrono::seconds(1));
+    EXPECT_TRUE(shedAt(std::chrono::milliseconds(500)).empty());
+}
+
+TEST_F(shedding_test, RefusesHopelessWork)
+{
+    m_queue.configure(makeState({makeClass("only", 1)}));
+    add(1, "only", std::chrono::seconds(1));
+    EXPECT_EQ(shedAt(std::chrono::seconds(2)), std::vector<std::uint64_t>{1});
+}
+
+TEST_F(shedding_test, RefusesALowerTierInPlaceOfAHopelessHigherOne)
+{
+    m_queue.configure(makeState({makeClass("high", 1), makeClass("low", 3)}));
+    add(1, "high", std::chrono::seconds(1));
+    add(2, "low", std::chrono::seconds(100));
+    EXPECT_EQ(shedAt(std::chrono::seconds(2)), std::vector<std::uint64_t>{2});
+}
+
+TEST_F(shedding_test, KeepsTheOldestWorkOfAClassWithAFloor)
+{
+    m_queue.configure(makeState({makeClass("high", 1), makeClass("low", 3, 0.1)}));
+    add(1, "high", std::chrono::seconds(1));
+    add(2, "low", std::chrono::seconds(100));
+    EXPECT_EQ(shedAt(std::chrono::seconds(2)), std::vector<std::uint64_t>{1});
+}
+
+TEST_F(shedding_test, MakesTheFloodOfAWorkspaceGiveWayFirst)
+{
+    m_queue.configure(makeState({makeClass("high", 1), makeClass("low", 3)}));
+    add(1, "high", std::chrono::seconds(1));
+    add(2, "low", std::chrono::seconds(100), "flooding");
+    add(3, "low", std::chrono::seconds(100), "flooding");
+    add(4, "low", std::chrono::seconds(100), "quiet");
+    EXPECT_EQ(shedAt(std::chrono::seconds(2)), std::vector<std::uint64_t>{3});
+}
+
+TEST_F(shedding_test, SelectsMarkedWorkOnlyOnce)
+{
+    m_queue.configure(makeState({makeClass("only", 1)}));
+    add(1, "only", std::chrono::seconds(1));
+    m_queue.markHopeless(makeAttempt(1));
+    EXPECT_TRUE(shedAt(std::chrono::seconds(2)).empty());
+}
+
+TEST_F(shedding_test, LetsMarkedWorkClaimLowerWorkThatComesLater)
+{
+    m_queue.configure(makeState({makeClass("high", 1), makeClass("low", 3)}));
+    add(1, "high", std::chrono::seconds(1));
+    m_queue.markHopeless(makeAttempt(1));
+    add(2, "low", std::chrono::seconds(100));
+    EXPECT_EQ(shedAt(std::chrono::seconds(2)), std::vector<std::uint64_t>{2});
+}
+
+} // namespace
+} // namespace wisteriashunt
--- /dev/null
+++ b/test/sse_splitter_test.cpp
@@ -0,0 +1,35 @@
+// Whole events from a stream of bytes.
+#include "daemon/sse_splitter.h"
+
+#include <gtest/gtest.h>
+
+namespace wisteriashunt
+{
+namespace
+{
+
+TEST(sse_splitter_test, JoinsEventsThatArriveInPieces)
+{
+    sse_splitter splitter("");
+    EXPECT_EQ(splitter.feed("data: {\"a\"").events, 0U);
+    const auto batch = splitter.feed(":1}\n\ndata: [DONE]\n\n");
+    EXPECT_EQ(batch.events, 2U);
+    EXPECT_TRUE(batch.isDone);
+    EXPECT_EQ(batch.data, "data: {\"a\":1}\n\ndata: [DONE]\n\n");
+}
+
+TEST(sse_splitter_test, FindsAnEventOfAnotherRequest)
+{
+    sse_splitter splitter("mine");
+    EXPECT_FALSE(splitter.feed("data: {\"id\":\"mine\"}\n\n").isForeign);
+    EXPECT_TRUE(splitter.feed("data: {\"id\":\"other\"}\n\n").isForeign);
+}
+
+TEST(sse_splitter_test, TreatsAnUnreadableEventAsForeignWhenItChecks)
+{
+    sse_splitter splitter("mine");
+    EXPECT_TRUE(splitter.feed("data: {broken\n\n").isForeign);
+}
+
+} // namespace
+} // namespace wisteriashunt
--- /dev/null
+++ b/test/support.h
@@ -0,0 +1,64 @@
+/// Shared by the tests: short builders of declarations and messages.
+#pragma once
+
+#include "wisteriashunt/messages.h"
+#include "wisteriashunt/resources.h"
+
+#include <string>
+#include <vector>
+
+namespace wisteriashunt::testing
+{
+
+inline constexpr time_point start_of_time{std::chrono::seconds(1700000000)};
+
+inline traffic_class makeClass(const std::string &name, int tier, double floor = 0, const std::vector<std::string> &endpoints = {"e1"})
+{
+    return {.name = name, .tier = tier, .firstToken = std::chrono::milliseconds(1000), .floor = floor, .endpoints = endpoints};
+}
+
+inline configuration_state makeState(const std::vector<traffic_class> &classes, log_offset offset = 1)
+{
+    configuration_state state;
+    state.offset = offset;
+    for (const auto &declared : classes) {
+        state.classes[declared.name].value = declared;
+        for (const auto &name : declared.endpoints) {
+            state.endpoints[name].value = {.name = name, .resumes = true};
+        }
+    }
+    return state;
+}
+
+inline attempt_id makeAttempt(std::uint64_t sequence, std::uint32_t attempt = 1, std::uint64_t entry = 7)
+{
+    return {.request = {.entry = entry, .sequence = sequence}, .attempt = attempt};
+}
+
+/// Returns the actions of one type, in order.
+template<typename T, typename Action>
+std::vector<T> only(const std::vector<Action> &actions)
+{
+    std::vector<T> chosen;
+    for (const auto &action : actions) {
+        if (const auto *concrete = std::get_if<T>(&action)) {
+            chosen.push_back(*concrete);
+        }
+    }
+    return chosen;
+}
+
+/// Returns the messages of one type among the sends, in order.
+template<typename T, typename Send, typename Action>
+std::vector<T> sent(const std::vector<Action> &actions)
+{
+    std::vector<T> chosen;
+    for (const auto &send : only<Send>(actions)) {
+        if (const auto *concrete = std::get_if<T>(&send.content)) {
+            chosen.push_back(*concrete);
+        }
+    }
+    return chosen;
+}
+
+} // namespace wisteriashunt::testing
