--- a/src/configuration/reducer.cpp
+++ b/src/configuration/reducer.cpp
@@ -72,18 +72,17 @@
 
 bool configuration_reducer::apply(const log_page &page)
 {
-    if (m_state.offset + 1 < page.firstRetained && m_next < page.firstRetained) {
+    if (nextOffset() < page.firstRetained) {
         m_hasGap = true;
         m_buffered.clear();
         m_firstAfterGap = page.firstRetained;
-        m_next = page.firstRetained;
+        m_nextInGap = page.firstRetained;
     }
     for (const auto &record : page.records) {
-        if (record.offset < m_next) {
-            continue;
+        // The page may have been asked for before a peer's snapshot was taken in; a record that does not follow is read again later.
+        if (record.offset == nextOffset()) {
+            applyRecord(record);
         }
-        m_next = record.offset + 1;
-        applyRecord(record);
     }
     return !m_hasGap;
 }
@@ -96,30 +95,34 @@
         m_lastSnapshotAt = record.offset;
     }
     if (!m_hasGap) {
-        if (record.offset > m_state.offset) {
-            if (!isSnapshot) {
-                applyChange(record, record.data);
-            }
-            m_state.offset = record.offset;
+        if (!isSnapshot) {
+            applyChange(record);
         }
+        m_state.offset = record.offset;
         return;
     }
-    if (!isSnapshot) {
-        m_buffered.push_back(record);
-        return;
+    m_nextInGap = record.offset + 1;
+    m_buffered.push_back(record);
+    if (isSnapshot) {
+        closeGap(*parsed);
     }
-    const log_offset coveredUpTo = parsed->contains("state") ? (*parsed)["state"].value("offset", log_offset{0}) : 0;
-    if (coveredUpTo + 1 < m_firstAfterGap || !adoptSnapshot((*parsed)["state"].dump())) {
+}
+
+void configuration_reducer::closeGap(const json &snapshotRecord)
+{
+    const json state = snapshotRecord.value("state", json::object());
+    const log_offset covered = state.value("offset", log_offset{0});
+    // Changes that were appended while the snapshot was on its way come before it in the log.
+    const std::vector<log_record> buffered = m_buffered;
+    if (covered + 1 < m_firstAfterGap || !adoptSnapshot(state.dump())) {
         return;
     }
-    // Changes that were appended while the snapshot was on its way come before it in the log.
-    for (const auto &buffered : std::exchange(m_buffered, {})) {
-        if (buffered.offset > m_state.offset) {
-            applyChange(buffered, buffered.data);
-            m_state.offset = buffered.offset;
+    for (const auto &record : buffered) {
+        if (record.offset > m_state.offset) {
+            applyChange(record);
+            m_state.offset = record.offset;
         }
     }
-    m_state.offset = std::max(m_state.offset, record.offset);
 }
 
 bool configuration_reducer::adoptSnapshot(const std::string &snapshot)
@@ -141,6 +144,7 @@
         }
         m_state = std::move(adopted);
         m_hasGap = false;
+        m_buffered.clear();
         return true;
     } catch (const json::exception &) {
         return false;
@@ -163,9 +167,9 @@
     return json{{"type", "snapshot"}, {"state", json::parse(makeSnapshot())}}.dump();
 }
 
-void configuration_reducer::applyChange(const log_record &record, const std::string &text)
+void configuration_reducer::applyChange(const log_record &record)
 {
-    const auto parsed = parseObject(text);
+    const auto parsed = parseObject(record.data);
     if (!parsed || parsed->value("type", "") != "change") {
         return;
     }
@@ -239,7 +243,7 @@
 
 log_offset configuration_reducer::nextOffset() const
 {
-    return std::max(m_next, m_state.offset + 1);
+    return m_hasGap ? m_nextInGap : m_state.offset + 1;
 }
 
 } // namespace wisteriashunt
--- a/src/configuration/reducer.h
+++ b/src/configuration/reducer.h
@@ -4,6 +4,8 @@
 #include "configuration/declarations.h"
 #include "wisteriashunt/platform.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <map>
 #include <string>
 #include <vector>
@@ -71,7 +73,8 @@
 
 private:
     void applyRecord(const log_record &record);
-    void applyChange(const log_record &record, const std::string &text);
+    void applyChange(const log_record &record);
+    void closeGap(const nlohmann::json &snapshotRecord);
     template<typename T>
     change_verdict judge(std::map<std::string, versioned<T>> &resources, const configuration_change &change, log_offset offset);
     void remember(const std::string &changeId, change_verdict verdict);
@@ -81,7 +84,7 @@
     std::vector<std::string> m_verdictOrder;
     std::vector<log_record> m_buffered;
     log_offset m_lastSnapshotAt = 0;
-    log_offset m_next = 1;
+    log_offset m_nextInGap = 1;
     bool m_hasGap = false;
     /// First offset that was read after the gap; a snapshot closes the gap if it covers everything before.
     log_offset m_firstAfterGap = 0;
--- a/test/simulated_system.h
+++ b/test/simulated_system.h
@@ -42,6 +42,8 @@
 
     // Network. Each connection keeps its order; a cut loses what is on the way.
     void deliver(std::size_t link, bool toEndpoint);
+    /// Delivers what is on the way in both directions, until nothing is left.
+    void exchange(std::size_t link);
     void cut(std::size_t link);
     void reconnect(std::size_t link);
 
