--- a/bench/standins/engine.cpp
+++ b/bench/standins/engine.cpp
@@ -97,7 +97,11 @@
         if (!chat.is_object() || !chat.contains("messages")) {
             return {.status = badRequest, .body = R"({"error":"bad request"})"};
         }
-        auto current = std::make_shared<answer>(begin(request, chat));
+        // A caller that closes its connection releases the answer, and with it its place in the batch.
+        const std::shared_ptr<answer> current(new answer(begin(request, chat)), [this](answer *ended) {
+            close(*ended, false);
+            delete ended;
+        });
         if (!chat.value("stream", false)) {
             return whole(*current);
         }
--- a/test/directory_test.cpp
+++ b/test/directory_test.cpp
@@ -27,7 +27,7 @@
         }
     }
 
-    time_point m_now = testing::start_of_time;
+    time_point m_now = testing::startOfTime;
     endpoint_directory m_directory{directory_options{}};
 };
 
--- a/test/endpoint_core_test.cpp
+++ b/test/endpoint_core_test.cpp
@@ -13,7 +13,7 @@
 using testing::makeAttempt;
 using testing::makeClass;
 using testing::makeState;
-using testing::start_of_time;
+using testing::startOfTime;
 
 constexpr peer_id entryPeer = 1;
 constexpr std::uint64_t incarnation = 42;
@@ -56,7 +56,7 @@
         return testing::sent<T, send_to_peer>(actions);
     }
 
-    time_point m_now = start_of_time;
+    time_point m_now = startOfTime;
     endpoint_core m_core{
         endpoint_core_options{.endpointName = "e1", .incarnation = incarnation, .limiter = {.initial = 2, .minimum = 2, .maximum = 2}, .ledger = {}}};
 };
--- a/test/entry_core_test.cpp
+++ b/test/entry_core_test.cpp
@@ -63,7 +63,7 @@
         return testing::sent<T, send_to_peer>(actions);
     }
 
-    time_point m_now = testing::start_of_time;
+    time_point m_now = testing::startOfTime;
     entry_core m_core{entry_core_options{.incarnation = 7, .random = [](std::uint64_t) { return std::uint64_t{0}; }}};
 };
 
--- a/test/evidence_test.cpp
+++ b/test/evidence_test.cpp
@@ -23,7 +23,7 @@
     static decision makeDecision(std::uint64_t sequence, int tier = 1)
     {
         decision value{.event = event_number::attempt_started,
-                       .at = testing::start_of_time + std::chrono::seconds(sequence),
+                       .at = testing::startOfTime + std::chrono::seconds(sequence),
                        .request = {.entry = 1, .sequence = sequence},
                        .className = "c",
                        .tier = tier,
--- a/test/limiter_test.cpp
+++ b/test/limiter_test.cpp
@@ -28,7 +28,7 @@
         m_limiter.adjust(m_now, m_limiter.limit());
     }
 
-    time_point m_now = testing::start_of_time;
+    time_point m_now = testing::startOfTime;
     concurrency_limiter m_limiter{limiter_options{.initial = 20, .maximum = 64}};
 };
 
--- a/test/order_property_test.cpp
+++ b/test/order_property_test.cpp
@@ -118,7 +118,7 @@
     std::map<int, int> m_served;
     int m_violations = 0;
     std::uint64_t m_sequence = 0;
-    time_point m_now = testing::start_of_time;
+    time_point m_now = testing::startOfTime;
 };
 
 RC_GTEST_PROP(order_property, NoLowerTierStartsAheadExceptByItsFloor, ())
--- a/test/shedding_test.cpp
+++ b/test/shedding_test.cpp
@@ -13,14 +13,14 @@
 using testing::makeAttempt;
 using testing::makeClass;
 using testing::makeState;
-using testing::start_of_time;
+using testing::startOfTime;
 
 class shedding_test : public ::testing::Test
 {
 protected:
     void add(std::uint64_t sequence, const std::string &className, duration budget, const std::string &workspaceName = "w")
     {
-        const time_point arrived = start_of_time + std::chrono::microseconds(sequence);
+        const time_point arrived = startOfTime + std::chrono::microseconds(sequence);
         m_queue.add(
             {.id = makeAttempt(sequence), .className = className, .workspaceName = workspaceName, .arrivedAt = arrived, .latestStart = arrived + budget});
     }
@@ -28,7 +28,7 @@
     std::vector<std::uint64_t> shedAt(duration offset)
     {
         std::vector<std::uint64_t> sequences;
-        for (const auto &shed : selectShedWork(start_of_time + offset, m_queue, m_predictor)) {
+        for (const auto &shed : selectShedWork(startOfTime + offset, m_queue, m_predictor)) {
             sequences.push_back(shed.work.id.request.sequence);
         }
         return sequences;
--- a/test/simulated_system.cpp
+++ b/test/simulated_system.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 simulated_system::simulated_system(std::size_t entries, std::size_t endpoints)
-    : m_now(start_of_time)
+    : m_now(startOfTime)
 {
     std::vector<std::string> names;
     for (std::size_t i = 0; i < endpoints; ++i) {
--- a/test/support.h
+++ b/test/support.h
@@ -10,7 +10,7 @@
 namespace wisteriashunt::testing
 {
 
-inline constexpr time_point start_of_time{std::chrono::seconds(1700000000)};
+inline constexpr time_point startOfTime{std::chrono::seconds(1700000000)};
 
 inline traffic_class makeClass(const std::string &name, int tier, double floor = 0, const std::vector<std::string> &endpoints = {"e1"})
 {
--- a/test/work_queue_test.cpp
+++ b/test/work_queue_test.cpp
@@ -22,7 +22,7 @@
         ASSERT_TRUE(m_queue.add({.id = makeAttempt(sequence),
                                  .className = className,
                                  .workspaceName = workspaceName,
-                                 .arrivedAt = testing::start_of_time + std::chrono::milliseconds(sequence)}));
+                                 .arrivedAt = testing::startOfTime + std::chrono::milliseconds(sequence)}));
     }
 
     chosen_work take()
