Look for hopeless work in linear time

Cause: each tick of an endpoint core copied all waiting work and counted, for each, the work ahead. Ruled out: the sort of the victims, the rates of the predictor. Change: one pass with positions from the sizes of the workspaces' queues, no copies, every 20 ms.

--- a/src/endpoint/endpoint_core.cpp
+++ b/src/endpoint/endpoint_core.cpp
@@ -13,6 +13,8 @@
 
 /// A running answer that is silent for this many targets counts as a slow gap before its next token comes.
 constexpr int silenceFactor = 4;
+/// Time between two looks for hopeless work; each look costs time in proportion to the work that waits.
+constexpr duration shedInterval = std::chrono::milliseconds(20);
 constexpr duration silenceSampleInterval = std::chrono::milliseconds(250);
 /// What a caller is told when this process leaves: another instance takes work at once.
 constexpr duration leavingRetryAfter = std::chrono::seconds(1);
@@ -356,9 +358,10 @@
 
 void endpoint_core::shed()
 {
-    if (m_queue.isEmpty()) {
+    if (m_queue.isEmpty() || m_now - m_lastShed < shedInterval) {
         return;
     }
+    m_lastShed = m_now;
     std::vector<std::pair<waiting_work, duration>> victims;
     if (m_options.shedPolicy) {
         victims = m_options.shedPolicy(m_now, m_queue, m_predictor);
--- a/src/endpoint/endpoint_core.h
+++ b/src/endpoint/endpoint_core.h
@@ -155,6 +155,7 @@
     bool m_isLeaving = false;
     time_point m_now{};
     time_point m_lastSilenceSample{};
+    time_point m_lastShed{};
     std::vector<endpoint_action> m_actions;
 };
 
--- a/src/endpoint/shedding.cpp
+++ b/src/endpoint/shedding.cpp
@@ -15,7 +15,7 @@
 
 struct assessed_work
 {
-    waiting_work work;
+    const waiting_work *work = nullptr;
     int tier = tierCount;
     /// Place in the queue of its own workspace.
     std::size_t position = 0;
@@ -26,14 +26,14 @@
 std::vector<assessed_work> assess(time_point now, const work_queue &queue, const wait_predictor &predictor)
 {
     std::vector<assessed_work> all;
+    all.reserve(queue.size());
+    const auto waiting = queue.waitingByTier();
     for (const auto &[name, declared] : queue.classes()) {
-        std::map<std::string, std::size_t> positions;
-        for (const auto &work : queue.workOfClass(name)) {
-            const std::size_t position = positions[work.workspaceName]++;
-            const duration wait = predictor.predict(now, queue, work).value_or(duration::zero());
+        queue.visitClass(name, [&, &declared = declared](const waiting_work &work, std::size_t position, std::size_t ahead) {
+            const duration wait = predictor.predict(now, declared.value, ahead, waiting).value_or(duration::zero());
             const bool isHopeless = work.isHopeless || now + wait > work.latestStart;
-            all.push_back({.work = work, .tier = declared.value.tier, .position = position, .predicted = wait, .isHopeless = isHopeless});
-        }
+            all.push_back({.work = &work, .tier = declared.value.tier, .position = position, .predicted = wait, .isHopeless = isHopeless});
+        });
     }
     return all;
 }
@@ -42,7 +42,7 @@
 /// holds the same reservations and so arrives at the same order; a request that gave way at some endpoints only would neither run nor be refused.
 bool givesWayBefore(const assessed_work &a, const assessed_work &b)
 {
-    return std::tuple(-a.tier, b.position, b.work.arrivedAt) < std::tuple(-b.tier, a.position, a.work.arrivedAt);
+    return std::tuple(-a.tier, b.position, b.work->arrivedAt) < std::tuple(-b.tier, a.position, a.work->arrivedAt);
 }
 
 /// Returns the oldest work of each class with a floor; the floor serves it in time, so it cannot give way. The age is the same at every endpoint, so all
@@ -54,9 +54,11 @@
         if (declared.value.floor <= 0) {
             continue;
         }
-        const auto works = queue.workOfClass(name);
-        const auto oldest = std::min_element(works.begin(), works.end(), [](const auto &a, const auto &b) { return a.arrivedAt < b.arrivedAt; });
-        if (oldest != works.end()) {
+        const waiting_work *oldest = nullptr;
+        queue.visitClass(name, [&oldest](const waiting_work &work, std::size_t, std::size_t) {
+            oldest = oldest == nullptr || work.arrivedAt < oldest->arrivedAt ? &work : oldest;
+        });
+        if (oldest != nullptr) {
             kept.insert(oldest->id);
         }
     }
@@ -81,17 +83,17 @@
     std::vector<shed_work> shed;
     std::vector<bool> isGone(all.size(), false);
     // Work that was refused here before has given way, but it still waits elsewhere, and until it ends lower tiers give way to it.
-    std::transform(all.begin(), all.end(), isGone.begin(), [](const assessed_work &assessed) { return assessed.work.isHopeless; });
+    std::transform(all.begin(), all.end(), isGone.begin(), [](const assessed_work &assessed) { return assessed.work->isHopeless; });
     const auto refuse = [&](std::size_t index) {
         isGone[index] = true;
-        shed.push_back({.work = all[index].work, .retryAfter = retryAfterOf(all[index])});
+        shed.push_back({.work = *all[index].work, .retryAfter = retryAfterOf(all[index])});
     };
     std::size_t nextVictim = 0;
     for (std::size_t i = 0; i < all.size(); ++i) {
-        if (!all[i].isHopeless || (isGone[i] && !all[i].work.isHopeless)) {
+        if (!all[i].isHopeless || (isGone[i] && !all[i].work->isHopeless)) {
             continue;
         }
-        while (nextVictim < all.size() && all[nextVictim].tier > all[i].tier && (isGone[nextVictim] || kept.contains(all[nextVictim].work.id))) {
+        while (nextVictim < all.size() && all[nextVictim].tier > all[i].tier && (isGone[nextVictim] || kept.contains(all[nextVictim].work->id))) {
             ++nextVictim;
         }
         const bool lowerGivesWay = nextVictim < all.size() && all[nextVictim].tier > all[i].tier;
--- a/src/endpoint/wait_predictor.cpp
+++ b/src/endpoint/wait_predictor.cpp
@@ -35,13 +35,12 @@
     ++m_seen;
 }
 
-std::optional<duration> wait_predictor::predict(time_point now, const work_queue &queue, const waiting_work &work) const
+std::optional<duration>
+wait_predictor::predict(time_point now, const traffic_class &declared, std::size_t ahead, const std::array<std::uint32_t, tierCount> &waiting) const
 {
-    const traffic_class *declared = queue.findClass(work.className);
-    if (declared == nullptr || m_seen < minimumDepartures) {
+    if (m_seen < minimumDepartures) {
         return std::nullopt;
     }
-    const auto waiting = queue.waitingByTier();
     double total = 0;
     double above = 0;
     double waitingAbove = 0;
@@ -49,7 +48,7 @@
         const auto index = static_cast<std::size_t>(tier - 1);
         const double rate = m_departures.at(index).perSecond(now);
         total += rate;
-        if (tier < declared->tier) {
+        if (tier < declared.tier) {
             above += rate;
             waitingAbove += waiting.at(index);
         }
@@ -57,9 +56,9 @@
     if (total <= 0) {
         return fromSeconds(longestPrediction);
     }
-    const double available = std::max({total - above, declared->floor * total, total * 1e-3});
+    const double available = std::max({total - above, declared.floor * total, total * 1e-3});
     // The floor may serve the class while higher tiers wait, so the work above counts at the full rate only.
-    const double seconds = static_cast<double>(queue.countAheadInClass(work)) / available + waitingAbove / total;
+    const double seconds = static_cast<double>(ahead) / available + waitingAbove / total;
     return fromSeconds(std::min(seconds, longestPrediction));
 }
 
--- a/src/endpoint/wait_predictor.h
+++ b/src/endpoint/wait_predictor.h
@@ -27,8 +27,9 @@
     /// Records that work of the tier started, here or elsewhere.
     void onDeparture(time_point now, int tier);
 
-    /// Returns the predicted further wait of the work, or nothing while too little has been seen to tell.
-    [[nodiscard]] std::optional<duration> predict(time_point now, const work_queue &queue, const waiting_work &work) const;
+    /// Returns the predicted further wait of work of the class with `ahead` works of its class before it, or nothing while too little has been seen to tell.
+    [[nodiscard]] std::optional<duration>
+    predict(time_point now, const traffic_class &declared, std::size_t ahead, const std::array<std::uint32_t, tierCount> &waiting) const;
 
 private:
     std::array<decaying_rate, tierCount> m_departures;
--- a/src/endpoint/work_queue.cpp
+++ b/src/endpoint/work_queue.cpp
@@ -265,24 +265,34 @@
     return counts;
 }
 
-std::size_t work_queue::countAheadInClass(const waiting_work &work) const
+void work_queue::visitClass(const std::string &className,
+                            const std::function<void(const waiting_work &work, std::size_t position, std::size_t ahead)> &visit) const
 {
-    const auto found = m_queues.find(work.className);
-    if (found == m_queues.end()) {
-        return 0;
+    const auto found = m_queues.find(className);
+    if (found == m_queues.end() || found->second.waitingCount == 0) {
+        return;
     }
-    std::size_t position = 0;
-    const auto own = found->second.workspaces.find(work.workspaceName);
-    if (own != found->second.workspaces.end()) {
-        const auto &waiting = own->second.waiting;
-        position = static_cast<std::size_t>(
-            std::count_if(waiting.begin(), waiting.end(), [&](const waiting_work &other) { return other.arrivedAt < work.arrivedAt; }));
+    std::vector<std::size_t> sizes;
+    for (const auto &[name, queue] : found->second.workspaces) {
+        sizes.push_back(queue.waiting.size());
+    }
+    std::sort(sizes.begin(), sizes.end());
+    // Fair sharing takes the work at one position of every workspace before that at the next position of any.
+    std::vector<std::size_t> takenThrough;
+    std::size_t taken = 0;
+    auto longer = sizes.begin();
+    for (std::size_t position = 0; position < sizes.back(); ++position) {
+        longer = std::upper_bound(longer, sizes.end(), position);
+        taken += static_cast<std::size_t>(sizes.end() - longer);
+        takenThrough.push_back(taken);
     }
-    std::size_t ahead = 0;
     for (const auto &[name, queue] : found->second.workspaces) {
-        ahead += std::min(queue.waiting.size(), position + (name == work.workspaceName ? 0 : 1));
+        std::size_t position = 0;
+        for (const auto &work : queue.waiting) {
+            visit(work, position, takenThrough[position] - 1);
+            ++position;
+        }
     }
-    return ahead;
 }
 
 std::vector<waiting_work> work_queue::workOfClass(const std::string &className) const
--- a/src/endpoint/work_queue.h
+++ b/src/endpoint/work_queue.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -85,8 +86,9 @@
     [[nodiscard]] bool contains(const attempt_id &id) const;
     [[nodiscard]] std::array<std::uint32_t, tierCount> waitingByTier() const;
 
-    /// Returns the number of attempts in the class that fair sharing places before the given one.
-    [[nodiscard]] std::size_t countAheadInClass(const waiting_work &work) const;
+    /// Calls `visit` for each work of the class, oldest first in each workspace. `position` counts the work of the same workspace before it, `ahead` the work
+    /// of the class that fair sharing places before it.
+    void visitClass(const std::string &className, const std::function<void(const waiting_work &work, std::size_t position, std::size_t ahead)> &visit) const;
 
     /// Returns all work of a class, oldest first in each workspace.
     [[nodiscard]] std::vector<waiting_work> workOfClass(const std::string &className) const;
--- a/test/configuration_test.cpp
+++ b/test/configuration_test.cpp
@@ -45,6 +45,14 @@
     EXPECT_EQ(reducer.verdictOf("a"), change_verdict::accepted);
 }
 
+TEST(reducer_test, DoesNotBringBackADeletedResourceByARepeatedWrite)
+{
+    const std::string deletion = makeChangeRecord({.changeId = "d", .author = "bob", .at = "now", .base = 1, .isDelete = true, .value = makeClass("c", 1)});
+    configuration_reducer reducer;
+    reducer.apply(pageOf({put("a", "c", 0), deletion, put("a", "c", 0)}));
+    EXPECT_TRUE(reducer.state().classes.empty());
+}
+
 TEST(reducer_test, SkipsUnreadableRecordsButCountsTheirOffsets)
 {
     configuration_reducer reducer;
--- a/test/endpoint_core_test.cpp
+++ b/test/endpoint_core_test.cpp
@@ -99,6 +99,14 @@
     EXPECT_TRUE(testing::only<start_upstream>(actions).empty());
 }
 
+TEST_F(endpoint_core_test, RefusesAStartFromAPeerThatHoldsNoOffer)
+{
+    reserveWork(1);
+    const auto actions = handle(peer_message{entryPeer + 1, start{.id = makeAttempt(1), .endpointIncarnation = incarnation}});
+    EXPECT_EQ(sent<refused>(actions).size(), 1U);
+    EXPECT_TRUE(testing::only<start_upstream>(actions).empty());
+}
+
 TEST_F(endpoint_core_test, BarsAnAttemptWhoseFateWasAsked)
 {
     reserveWork(1, "high", false);
--- a/test/entry_core_test.cpp
+++ b/test/entry_core_test.cpp
@@ -116,6 +116,16 @@
     EXPECT_TRUE(testing::only<answer_chunk>(receive(peer, chunk{.id = makeAttempt(1), .offset = 1, .events = 1, .data = "b"})).empty());
 }
 
+TEST_F(entry_core_test, IgnoresAVoteOnAnOlderAttempt)
+{
+    const peer_id peer = startAtFirst(1);
+    const peer_id other = peer == 1 ? 2 : 1;
+    receive(peer, failed{.id = makeAttempt(1), .detail = "reset"});
+    const refused late{.id = makeAttempt(1), .kind = static_cast<std::uint8_t>(error_kind::overloaded)};
+    EXPECT_TRUE(testing::only<answer_error>(receive(other, late)).empty());
+    EXPECT_EQ(sent<start>(receive(other, offer{.id = makeAttempt(1, 2), .endpointIncarnation = 50})).size(), 1U);
+}
+
 TEST_F(entry_core_test, ResumesFromTheForwardedOffset)
 {
     const peer_id peer = startAtFirst(1);
--- a/test/process_test.cpp
+++ b/test/process_test.cpp
@@ -28,8 +28,7 @@
 class running_streams
 {
 public:
-    running_streams(int count, int length, const std::function<caller_reply(int index, const std::function<bool(const std::string &)> &)> &call)
-        : m_length(length)
+    running_streams(int count, const std::function<caller_reply(int index, const std::function<bool(const std::string &)> &)> &call)
     {
         for (int i = 0; i < count; ++i) {
             m_replies.push_back(std::async(std::launch::async, [this, i, call] {
@@ -58,7 +57,6 @@
     }
 
 private:
-    int m_length;
     std::atomic<int> m_begun{0};
     std::vector<std::future<caller_reply>> m_replies;
 };
@@ -71,8 +69,8 @@
 
 TEST_F(process_test, StreamsAreWholeWhenAnEndpointProcessIsKilled)
 {
-    running_streams running(
-        streams, longAnswer, [](int i, const auto &onData) { return chat(i % 2 == 0 ? entryAPort : entryBPort, "t" + std::to_string(i), longAnswer, onData); });
+    running_streams running(streams,
+                            [](int i, const auto &onData) { return chat(i % 2 == 0 ? entryAPort : entryBPort, "t" + std::to_string(i), longAnswer, onData); });
     waitUntil("all streams have begun", [&] { return running.begun() == streams; });
     endProcess("endpoint-a", SIGKILL);
     const auto replies = running.join();
@@ -81,8 +79,8 @@
 
 TEST_F(process_test, StreamsAreWholeWhenAnEndpointProcessFreezesAndWakes)
 {
-    running_streams running(
-        streams, longAnswer, [](int i, const auto &onData) { return chat(i % 2 == 0 ? entryAPort : entryBPort, "t" + std::to_string(i), longAnswer, onData); });
+    running_streams running(streams,
+                            [](int i, const auto &onData) { return chat(i % 2 == 0 ? entryAPort : entryBPort, "t" + std::to_string(i), longAnswer, onData); });
     waitUntil("all streams have begun", [&] { return running.begun() == streams; });
     signalProcess("endpoint-a", SIGSTOP);
     const auto replies = running.join();
@@ -95,7 +93,7 @@
 {
     control(engineAPort, R"({"crashAfter":5,"crashCount":3})");
     control(engineBPort, R"({"crashAfter":9,"crashCount":2})");
-    running_streams running(streams, longAnswer, [](int i, const auto &onData) { return chat(entryAPort, "t" + std::to_string(i), longAnswer, onData); });
+    running_streams running(streams, [](int i, const auto &onData) { return chat(entryAPort, "t" + std::to_string(i), longAnswer, onData); });
     const auto replies = running.join();
     EXPECT_ALL_WHOLE(replies, longAnswer);
 }
@@ -104,15 +102,15 @@
 {
     control(engineAPort, R"({"crossedCount":2})");
     control(engineBPort, R"({"crossedCount":1})");
-    running_streams running(4, 10, [](int i, const auto &onData) { return chat(entryAPort, "t" + std::to_string(i), 10, onData); });
+    running_streams running(4, [](int i, const auto &onData) { return chat(entryAPort, "t" + std::to_string(i), 10, onData); });
     const auto replies = running.join();
     EXPECT_ALL_WHOLE(replies, 10);
 }
 
 TEST_F(process_test, AGracefulEndOfAnEndpointProcessCutsOffNothing)
 {
-    running_streams running(
-        streams, longAnswer, [](int i, const auto &onData) { return chat(i % 2 == 0 ? entryAPort : entryBPort, "t" + std::to_string(i), longAnswer, onData); });
+    running_streams running(streams,
+                            [](int i, const auto &onData) { return chat(i % 2 == 0 ? entryAPort : entryBPort, "t" + std::to_string(i), longAnswer, onData); });
     waitUntil("all streams have begun", [&] { return running.begun() == streams; });
     EXPECT_EQ(endProcess("endpoint-a", SIGTERM), 0);
     const auto replies = running.join();
@@ -123,7 +121,7 @@
 
 TEST_F(process_test, AGracefulEndOfAnEntryCutsOffNothing)
 {
-    running_streams running(streams, longAnswer, [](int i, const auto &onData) { return chat(entryAPort, "t" + std::to_string(i), longAnswer, onData); });
+    running_streams running(streams, [](int i, const auto &onData) { return chat(entryAPort, "t" + std::to_string(i), longAnswer, onData); });
     waitUntil("all streams have begun", [&] { return running.begun() == streams; });
     signalProcess("entry-a", SIGTERM);
     waitUntil("new requests are sent elsewhere", [] {
