--- a/test/entry_core_test.cpp
+++ b/test/entry_core_test.cpp
@@ -186,6 +186,16 @@
     EXPECT_EQ(errors[0].kind, error_kind::upstream_failed);
 }
 
+TEST_F(entry_core_test, DoesNotCallARequestNotRunAfterAnAttemptStarted)
+{
+    const peer_id peer = startAtFirst(1);
+    receive(peer, failed{.id = makeAttempt(1), .detail = "reset"});
+    const refused vote{.id = makeAttempt(1, 2), .kind = static_cast<std::uint8_t>(error_kind::overloaded)};
+    const auto errors = testing::only<answer_error>(receive(peer == 1 ? 2 : 1, vote));
+    ASSERT_EQ(errors.size(), 1U);
+    EXPECT_EQ(answerFor(errors[0].kind).ran, run_state::may_have_run);
+}
+
 TEST_F(entry_core_test, RefusesNewRequestsWhileItLeavesAndFinishesOldOnes)
 {
     const peer_id peer = startAtFirst(1);
