Wake idle daemons less often

Cause: an idle endpoint process spent 1.12% of a core and an idle entry 1.00%, on ticks every 10 ms and socket polls every 20 ms, where a node has 1% for all of its control. Ruled out: heartbeats (5 a second), the log's long polls. Change: without work the cores tick every 100 ms, and the socket thread polls every 100 ms; events wake both at once.

--- a/src/daemon/endpoint_daemon.cpp
+++ b/src/daemon/endpoint_daemon.cpp
@@ -10,8 +10,10 @@
 
 constexpr std::size_t eventCapacity = 65536;
 constexpr duration tickInterval = std::chrono::milliseconds(10);
+/// Without work nothing can become late, so the core wakes for heartbeats and suspicion only. An event wakes it at once.
+constexpr duration idleTickInterval = std::chrono::milliseconds(100);
 constexpr duration heartbeatInterval = std::chrono::milliseconds(200);
-constexpr duration supervisionInterval = std::chrono::milliseconds(50);
+constexpr duration supervisionInterval = std::chrono::milliseconds(100);
 /// After the last answer, the frames that carry it still need to reach the entries.
 constexpr duration lingerAfterIdle = std::chrono::milliseconds(300);
 
@@ -104,7 +106,7 @@
 void endpoint_daemon::runCore()
 {
     while (!m_isCoreStopping) {
-        auto events = m_events.popAll(tickInterval);
+        auto events = m_events.popAll(m_core->isIdle() && m_core->queue().isEmpty() ? idleTickInterval : tickInterval);
         events.emplace_back(tick{});
         bool hasLeaveRequest = false;
         for (auto &event : events) {
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -12,8 +12,10 @@
 
 constexpr std::size_t eventCapacity = 65536;
 constexpr duration tickInterval = std::chrono::milliseconds(10);
+/// Without work nothing can become late, so the core wakes for heartbeats and suspicion only. An event wakes it at once.
+constexpr duration idleTickInterval = std::chrono::milliseconds(100);
 constexpr duration heartbeatInterval = std::chrono::milliseconds(500);
-constexpr duration supervisionInterval = std::chrono::milliseconds(50);
+constexpr duration supervisionInterval = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -167,7 +169,7 @@
 void entry_daemon::runCore()
 {
     while (!m_isCoreStopping) {
-        auto events = m_events.popAll(tickInterval);
+        auto events = m_events.popAll(m_core->isIdle() ? idleTickInterval : tickInterval);
         events.emplace_back(tick{});
         for (auto &event : events) {
             if (const auto *received = std::get_if<peer_message>(&event)) {
--- a/src/transport/peer_hub.cpp
+++ b/src/transport/peer_hub.cpp
@@ -19,7 +19,8 @@
 namespace
 {
 
-constexpr int pollIntervalMs = 20;
+/// Sockets and commands wake the thread at once; the interval only bounds how late a silent peer or a redial is noticed.
+constexpr int pollIntervalMs = 100;
 constexpr int listenBacklog = 1024;
 constexpr std::size_t readSize = 65536;
 constexpr std::uint64_t listenerTag = 0;
