Tick by time, and let decisions gather before they are logged

Cause: every wake of a core thread ran a whole tick, and every decision woke the recorder; a request cost 563-731 us of processor in entry and endpoint process together. Ruled out: the log lines themselves (494-544 us without any log file). Change: a tick runs when 10 ms have passed; the recorder gathers decisions for 20 ms once it has some.

--- a/src/daemon/decision_recorder.cpp
+++ b/src/daemon/decision_recorder.cpp
@@ -10,7 +10,9 @@
 namespace
 {
 
+/// Decisions gather this long, so that requests do not wake the recorder one by one.
 constexpr duration popWait = std::chrono::milliseconds(100);
+constexpr duration gatherInterval = std::chrono::milliseconds(20);
 
 } // namespace
 
@@ -48,7 +50,9 @@
 void decision_recorder::run()
 {
     while (!m_isStopping) {
-        takeDecisions(popWait);
+        if (takeDecisions(popWait)) {
+            std::this_thread::sleep_for(gatherInterval);
+        }
         if (m_clock.now() - m_lastAppend >= m_options.appendInterval) {
             appendBatch();
         }
@@ -59,9 +63,10 @@
     }
 }
 
-void decision_recorder::takeDecisions(duration wait)
+bool decision_recorder::takeDecisions(duration wait)
 {
-    for (const auto &value : m_ring.popAll(wait)) {
+    const auto taken = m_ring.popAll(wait);
+    for (const auto &value : taken) {
         LOG(INFO) << toLogLine(value);
         m_metrics.observe(value);
         if (isEvidence(value.event)) {
@@ -69,6 +74,7 @@
         }
     }
     dropOldest();
+    return !taken.empty();
 }
 
 void decision_recorder::dropOldest()
--- a/src/daemon/decision_recorder.h
+++ b/src/daemon/decision_recorder.h
@@ -42,7 +42,8 @@
 
 private:
     void run();
-    void takeDecisions(duration wait);
+    /// Returns true if there were any.
+    bool takeDecisions(duration wait);
     void appendBatch();
     void dropOldest();
 
--- a/src/daemon/endpoint_daemon.cpp
+++ b/src/daemon/endpoint_daemon.cpp
@@ -107,7 +107,11 @@
 {
     while (!m_isCoreStopping) {
         auto events = m_events.popAll(m_core->isIdle() && m_core->queue().isEmpty() ? idleTickInterval : tickInterval);
-        events.emplace_back(tick{});
+        const bool isTickDue = m_clock.now() >= m_nextTick;
+        if (isTickDue) {
+            m_nextTick = m_clock.now() + tickInterval;
+            events.emplace_back(tick{});
+        }
         bool hasLeaveRequest = false;
         for (auto &event : events) {
             if (const auto *received = std::get_if<peer_message>(&event)) {
@@ -127,7 +131,7 @@
             m_nextHeartbeat = {};
         }
         sendHeartbeats();
-        if (m_core->status(m_clock.now()).leaving) {
+        if (isTickDue && m_core->status(m_clock.now()).leaving) {
             m_isIdle = m_core->isIdle();
         }
     }
--- a/src/daemon/endpoint_daemon.h
+++ b/src/daemon/endpoint_daemon.h
@@ -40,6 +40,7 @@
     std::unique_ptr<upstream_client> m_upstream;
     std::set<peer_id> m_peers;
     time_point m_nextHeartbeat{};
+    time_point m_nextTick{};
     std::atomic<bool> m_isCoreStopping{false};
     std::atomic<bool> m_isIdle{true};
     std::atomic<log_offset> m_configurationOffset{0};
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -170,7 +170,11 @@
 {
     while (!m_isCoreStopping) {
         auto events = m_events.popAll(m_core->isIdle() ? idleTickInterval : tickInterval);
-        events.emplace_back(tick{});
+        const bool isTickDue = m_clock.now() >= m_nextTick;
+        if (isTickDue) {
+            m_nextTick = m_clock.now() + tickInterval;
+            events.emplace_back(tick{});
+        }
         for (auto &event : events) {
             if (const auto *received = std::get_if<peer_message>(&event)) {
                 exchangeConfiguration(
@@ -187,6 +191,9 @@
         }
         sendHeartbeats();
         m_openRequests = m_core->openRequests();
+        if (!isTickDue) {
+            continue;
+        }
         std::size_t usable = 0;
         for (const auto &[name, view] : m_core->directory().all()) {
             usable += m_core->directory().isUsable(m_clock.now(), name) ? 1 : 0;
--- a/src/daemon/entry_daemon.h
+++ b/src/daemon/entry_daemon.h
@@ -53,6 +53,7 @@
     std::atomic<std::size_t> m_usableEndpoints{0};
     std::set<peer_id> m_peers;
     time_point m_nextHeartbeat{};
+    time_point m_nextTick{};
     mutable absl::Mutex m_configurationMutex;
     std::shared_ptr<const configuration_state> m_configuration ABSL_GUARDED_BY(m_configurationMutex) = std::make_shared<configuration_state>();
     std::thread m_coreThread;
