Rotate the peers' keys on SIGHUP, without a stop

Cause: the handshake accepted several keys, but nothing read them again, so a rotation meant restarts. After: process_test.KeysRotateWithoutAStop goes through the three steps on five processes, replaces one and serves through it.

--- a/src/daemon/daemon_base.h
+++ b/src/daemon/daemon_base.h
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -32,6 +33,14 @@
     std::function<bool()> isReady;
 };
 
+/// What the operating system's signals ask of a running daemon.
+struct daemon_signals
+{
+    std::function<bool()> isStopRequested;
+    /// Returns the keys of the settings file once after each request to reload; nothing otherwise, or if the file has faults.
+    std::function<std::optional<std::vector<peer_key>>()> takeReloadedKeys;
+};
+
 /// Common parts of a running daemon.
 class daemon_base
 {
--- a/src/daemon/endpoint_daemon.cpp
+++ b/src/daemon/endpoint_daemon.cpp
@@ -62,12 +62,18 @@
     m_base->stop();
 }
 
-void endpoint_daemon::run(const std::function<bool()> &isStopRequested)
+void endpoint_daemon::run(const daemon_signals &signals)
 {
     m_coreThread = std::thread([this] { runCore(); });
     m_hub->start();
     m_base->start();
-    while (!isStopRequested() && !m_base->isDrainRequested()) {
+    while (!signals.isStopRequested() && !m_base->isDrainRequested()) {
+        if (signals.takeReloadedKeys) {
+            if (const auto keys = signals.takeReloadedKeys()) {
+                m_hub->setKeys(*keys);
+                m_base->note(event_number::keys_reloaded, std::to_string(keys->size()));
+            }
+        }
         std::this_thread::sleep_for(supervisionInterval);
     }
     m_base->markLeaving();
--- a/src/daemon/endpoint_daemon.h
+++ b/src/daemon/endpoint_daemon.h
@@ -21,8 +21,8 @@
     endpoint_daemon(const endpoint_daemon &) = delete;
     endpoint_daemon &operator=(const endpoint_daemon &) = delete;
 
-    /// Serves until `isStopRequested` returns true or a drain is asked for, then finishes all running work and returns.
-    void run(const std::function<bool()> &isStopRequested);
+    /// Serves until `signals.isStopRequested` returns true or a drain is asked for, then finishes all running work and returns.
+    void run(const daemon_signals &signals);
 
 private:
     void runCore();
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -71,7 +71,7 @@
     m_base->stop();
 }
 
-void entry_daemon::run(const std::function<bool()> &isStopRequested)
+void entry_daemon::run(const daemon_signals &signals)
 {
     m_claimWriter = std::make_unique<claim_writer>(claim_writer_options{}, std::make_unique<http_log_service>(m_settings.logUrl));
     m_coreThread = std::thread([this] { runCore(); });
@@ -79,7 +79,13 @@
     m_base->start();
     followClaims();
     m_base->counters().addGauge("open_requests", [this] { return static_cast<double>(m_openRequests.load()); });
-    while (!isStopRequested() && !m_base->isDrainRequested()) {
+    while (!signals.isStopRequested() && !m_base->isDrainRequested()) {
+        if (signals.takeReloadedKeys) {
+            if (const auto keys = signals.takeReloadedKeys()) {
+                m_hub->setKeys(*keys);
+                m_base->note(event_number::keys_reloaded, std::to_string(keys->size()));
+            }
+        }
         m_callers->findLeavers();
         std::this_thread::sleep_for(supervisionInterval);
     }
--- a/src/daemon/entry_daemon.h
+++ b/src/daemon/entry_daemon.h
@@ -23,8 +23,8 @@
     entry_daemon(const entry_daemon &) = delete;
     entry_daemon &operator=(const entry_daemon &) = delete;
 
-    /// Serves until `isStopRequested` returns true or a drain is asked for, then finishes all requests and returns.
-    void run(const std::function<bool()> &isStopRequested);
+    /// Serves until `signals.isStopRequested` returns true or a drain is asked for, then finishes all requests and returns.
+    void run(const daemon_signals &signals);
 
 private:
     void runCore();
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -24,22 +24,42 @@
 constexpr int exitBadSettings = 2;
 
 volatile std::sig_atomic_t stopRequested = 0;
+volatile std::sig_atomic_t reloadRequested = 0;
 
-void onSignal(int)
+void onSignal(int signal)
 {
-    stopRequested = 1;
+    if (signal == SIGHUP) {
+        reloadRequested = 1;
+    } else {
+        stopRequested = 1;
+    }
+}
+
+std::optional<std::vector<wisteriashunt::peer_key>> takeReloadedKeys()
+{
+    if (reloadRequested == 0) {
+        return std::nullopt;
+    }
+    reloadRequested = 0;
+    std::vector<wisteriashunt::fault> faults;
+    const auto settings = wisteriashunt::loadSettings(absl::GetFlag(FLAGS_config), faults);
+    if (!faults.empty()) {
+        LOG(ERROR) << "event=" << static_cast<int>(wisteriashunt::event_number::settings_fault) << " name=settings_fault reason=" << toString(faults);
+        return std::nullopt;
+    }
+    return settings.peerKeys;
 }
 
 int serve(const wisteriashunt::daemon_settings &settings)
 {
     const wisteriashunt::anchored_clock clock;
-    const auto isStopRequested = [] { return stopRequested != 0; };
+    const wisteriashunt::daemon_signals signals{.isStopRequested = [] { return stopRequested != 0; }, .takeReloadedKeys = takeReloadedKeys};
     if (settings.role == wisteriashunt::daemon_role::entry) {
         wisteriashunt::entry_daemon daemon(settings, clock);
-        daemon.run(isStopRequested);
+        daemon.run(signals);
     } else {
         wisteriashunt::endpoint_daemon daemon(settings, clock);
-        daemon.run(isStopRequested);
+        daemon.run(signals);
     }
     return 0;
 }
@@ -62,6 +82,7 @@
     }
     std::signal(SIGTERM, onSignal);
     std::signal(SIGINT, onSignal);
+    std::signal(SIGHUP, onSignal);
     std::signal(SIGPIPE, SIG_IGN);
     curl_global_init(CURL_GLOBAL_DEFAULT);
     wisteriashunt::configureLogging(settings);
--- a/src/evidence/decision.cpp
+++ b/src/evidence/decision.cpp
@@ -70,6 +70,8 @@
         return "process_stopped";
     case event_number::settings_fault:
         return "settings_fault";
+    case event_number::keys_reloaded:
+        return "keys_reloaded";
     }
     return "unknown";
 }
--- a/src/evidence/decision.h
+++ b/src/evidence/decision.h
@@ -44,6 +44,7 @@
     process_leaving = 602,
     process_stopped = 603,
     settings_fault = 604,
+    keys_reloaded = 605,
 };
 
 /// One decision. Fields that do not apply to an event stay empty.
--- a/test/process_fixture.cpp
+++ b/test/process_fixture.cpp
@@ -207,6 +207,27 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
+void process_fixture::replaceKeys(const std::string &name, const std::string &keys)
+{
+    const std::string path = m_directory + "/" + name + ".yaml";
+    std::ifstream before(path);
+    std::ostringstream after;
+    for (std::string line; std::getline(before, line);) {
+        after << (line.starts_with("peerKeys:") ? "peerKeys: [" + keys + "]" : line) << '\n';
+    }
+    std::ofstream(path) << after.str();
+    m_logRead[name] = std::filesystem::file_size(m_directory + "/" + name + ".log");
+}
+
+bool process_fixture::hasEventInLog(const std::string &name, const std::string &event) const
+{
+    std::ifstream stream(m_directory + "/" + name + ".log");
+    stream.seekg(static_cast<std::streamoff>(m_logRead.at(name)));
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return text.str().find("name=" + event) != std::string::npos;
+}
+
 int process_fixture::endProcess(const std::string &name, int signal)
 {
     signalProcess(name, signal);
--- a/test/process_fixture.h
+++ b/test/process_fixture.h
@@ -50,6 +50,12 @@
     /// Waits for the process to end and returns its exit status, or minus the signal that ended it.
     int waitForEnd(const std::string &name);
 
+    /// Writes other keys into the settings of a daemon and forgets its log.
+    void replaceKeys(const std::string &name, const std::string &keys);
+
+    /// Says whether a line of the daemon's log since the last `replaceKeys` names the event.
+    bool hasEventInLog(const std::string &name, const std::string &event) const;
+
     /// Sends the signal and waits for the end.
     int endProcess(const std::string &name, int signal);
 
@@ -88,6 +94,7 @@
     std::string m_directory;
     std::map<std::string, pid_t> m_processes;
     std::map<std::string, int> m_adminPorts;
+    std::map<std::string, std::size_t> m_logRead;
 };
 
 } // namespace wisteriashunt::testing
--- a/test/process_test.cpp
+++ b/test/process_test.cpp
@@ -245,6 +245,26 @@
     EXPECT_EQ(textOf(chat(entryAPort, "t", 3).body), expectedChat("t", 3));
 }
 
+TEST_F(process_test, KeysRotateWithoutAStop)
+{
+    const std::string oldKey = "{name: k, secret: secret-of-the-tests}";
+    const std::string newKey = "{name: n, secret: new-secret-of-tests}";
+    const std::vector<std::string> all{"endpoint-a", "endpoint-b", "endpoint-c", "entry-a", "entry-b"};
+    for (const auto &keys : {oldKey + ", " + newKey, newKey + ", " + oldKey, newKey}) {
+        for (const auto &name : all) {
+            replaceKeys(name, keys);
+            signalProcess(name, SIGHUP);
+        }
+        for (const auto &name : all) {
+            waitUntil(name + " has read its keys", [&] { return hasEventInLog(name, "keys_reloaded"); });
+        }
+    }
+    endProcess("endpoint-a", SIGKILL);
+    launchDaemon("endpoint-a");
+    waitUntilReady("entry-a", 3);
+    EXPECT_EQ(textOf(chat(entryAPort, "t", 3).body), expectedChat("t", 3));
+}
+
 /// Sends raw bytes to a port and closes, or leaves the connection half-open.
 int connectRaw(int port, const std::string &bytes)
 {
