Tell a long whole answer from a slow first token

Cause: a chat that is not streamed was measured as one first token, so eight seconds of answer cut the engine's limit to one and left no wait budget: every later request was refused. Found by reading; the load tool streams only. Service was counted as one token as well. Ruled out: asking the engine for a stream in any case, which would rewrite callers' bodies. Change: whole answers of engines teach the limiter nothing, and their tokens are estimated from their size. The new test fails before (refused at the second request) and passes after.

--- a/src/endpoint/endpoint_core.cpp
+++ b/src/endpoint/endpoint_core.cpp
@@ -18,6 +18,8 @@
 constexpr duration silenceSampleInterval = std::chrono::milliseconds(250);
 /// What a caller is told when this process leaves: another instance takes work at once.
 constexpr duration leavingRetryAfter = std::chrono::seconds(1);
+/// Bytes of answer text that one token stands for on average.
+constexpr std::size_t bytesPerToken = 4;
 constexpr duration defaultRetryAfter = std::chrono::seconds(1);
 /// Share of the first-token target that is never spent on waiting.
 constexpr double firstTokenReserve = 0.1;
@@ -217,9 +219,12 @@
     }
     running_attempt &attempt = position->second;
     finished outcome = event.outcome;
-    outcome.events = attempt.events;
-    if (!attempt.streaming) {
+    outcome.events = attempt.streaming ? attempt.events : 0;
+    if (!attempt.streaming && m_isService) {
         m_limiter.observeFirstToken(m_now - attempt.startedAt);
+    } else if (!attempt.streaming) {
+        // A whole answer of an engine says nothing of its first token: its length is unknown. Its service is estimated from its size.
+        attempt.events = static_cast<std::uint32_t>(outcome.body.size() / bytesPerToken);
     }
     if (!attempt.work.idempotent) {
         m_ledger.finish(outcome.id, outcome);
@@ -273,6 +278,7 @@
     const auto own = state.endpoints.find(m_options.endpointName);
     if (own != state.endpoints.end()) {
         m_limiter.setMaximum(own->second.value.maxConcurrency);
+        m_isService = own->second.value.kind == endpoint_kind::service;
     }
     duration firstToken = duration::max();
     duration betweenTokens = duration::max();
@@ -405,7 +411,7 @@
 {
     const running_attempt attempt = position->second;
     m_running.erase(position);
-    const double tokens = attempt.streaming ? attempt.events - attempt.resumedFrom : 1;
+    const double tokens = std::max(1U, attempt.events - attempt.resumedFrom);
     m_queue.settle(attempt.work.className, attempt.work.workspaceName, attempt.chargedTokens, tokens);
     note(event_number::attempt_ended, attempt.work, reason, tokens);
 }
--- a/src/endpoint/endpoint_core.h
+++ b/src/endpoint/endpoint_core.h
@@ -153,6 +153,7 @@
     std::map<attempt_id, running_attempt> m_running;
     log_offset m_configuration = 0;
     bool m_isLeaving = false;
+    bool m_isService = false;
     time_point m_now{};
     time_point m_lastSilenceSample{};
     time_point m_lastShed{};
--- a/test/endpoint_core_test.cpp
+++ b/test/endpoint_core_test.cpp
@@ -185,6 +185,21 @@
     EXPECT_EQ(testing::only<cancel_upstream>(actions).size(), 1U);
 }
 
+TEST_F(endpoint_core_test, DoesNotTakeALongWholeAnswerForASlowFirstToken)
+{
+    // Ten whole answers of 8 s each: far beyond the first-token target of one second, and no reason to refuse or to lower the limit.
+    for (std::uint64_t i = 1; i <= 10; ++i) {
+        ASSERT_EQ(sent<offer>(reserveWork(i)).size(), 1U) << "request " << i;
+        handle(peer_message{entryPeer, start{.id = makeAttempt(i), .endpointIncarnation = incarnation, .streaming = false}});
+        m_now += std::chrono::seconds(8);
+        handle(upstream_finished{finished{.id = makeAttempt(i), .httpStatus = 200, .body = std::string(800, 'x')}});
+        handle(tick{});
+    }
+    fill();
+    reserveWork(11);
+    EXPECT_TRUE(sent<refused>(handle(tick{})).empty());
+}
+
 TEST_F(endpoint_core_test, CallsARequestThatNeverReachedTheBackEndNotRun)
 {
     reserveWork(1, "high", false);
--- /dev/null
+++ b/test/fuzz/route_fuzz.cpp
@@ -0,0 +1,32 @@
+// Fuzz target: callers' requests. The first byte chooses the path, the rest is the body.
+#include "request/router.h"
+#include "wisteriashunt/errors.h"
+
+#include <cstdint>
+#include <string>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    using namespace wisteriashunt;
+    static const configuration_state state = [] {
+        configuration_state made;
+        made.offset = 1;
+        made.classes["c"].value = {.name = "c", .endpoints = {"e"}, .nonIdempotent = {"POST /d"}, .models = {"m"}, .services = {"s"}};
+        made.workspaces["w"].value = {.name = "w", .keyHashes = {sha256Hex("k")}};
+        return made;
+    }();
+    if (size == 0) {
+        return 0;
+    }
+    const std::string body(reinterpret_cast<const char *>(data) + 1, size - 1);
+    http_request request{.method = "POST", .path = chatPath, .headers = {{"authorization", "Bearer k"}}, .body = body};
+    if (data[0] % 2 == 1) {
+        request.path = servicePrefix + body;
+    }
+    try {
+        static_cast<void>(route(state, request));
+    } catch (const shunt_error &) {
+        // A refusal with its error kind is the expected answer to bad input.
+    }
+    return 0;
+}
--- a/test/simulated_system.cpp
+++ b/test/simulated_system.cpp
@@ -211,6 +211,13 @@
     toEndpoint(endpoint % m_endpoints.size(), leave_requested{});
 }
 
+void simulated_system::listLeaving(std::size_t endpoint)
+{
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        toEntry(i, endpoints_listed_leaving{{"e" + std::to_string(endpoint % m_endpoints.size())}});
+    }
+}
+
 void simulated_system::advance(duration time)
 {
     for (duration passed{}; passed < time; passed += tickInterval) {
@@ -403,6 +410,7 @@
                 }
             }
         } else if (const auto *started = std::get_if<start_upstream>(&action)) {
+            ++m_endpoints[index].starts;
             m_endpoints[index].work.push_back({.request = started->request, .next = started->request.resumeFrom});
         } else if (const auto *cancelled = std::get_if<cancel_upstream>(&action)) {
             std::erase_if(m_endpoints[index].work, [&](const upstream_work &item) { return item.request.id == cancelled->id; });
@@ -456,6 +464,11 @@
     return found == m_runs.end() ? 0 : found->second;
 }
 
+std::uint64_t simulated_system::startsAt(std::size_t endpoint) const
+{
+    return m_endpoints[endpoint].starts;
+}
+
 std::size_t simulated_system::openCallers() const
 {
     return static_cast<std::size_t>(
--- a/test/simulated_system.h
+++ b/test/simulated_system.h
@@ -52,6 +52,8 @@
     void killEndpoint(std::size_t endpoint);
     void freezeEntry(std::size_t entry, bool frozen);
     void leaveEndpoint(std::size_t endpoint);
+    /// The platform's list names the endpoint as leaving; the endpoint process itself knows nothing of it.
+    void listLeaving(std::size_t endpoint);
     void advance(duration time);
 
     // The platform's log.
@@ -73,6 +75,7 @@
     [[nodiscard]] const std::vector<caller_view> &callers() const;
     [[nodiscard]] int runsOf(const std::string &operation) const;
     [[nodiscard]] std::size_t openCallers() const;
+    [[nodiscard]] std::uint64_t startsAt(std::size_t endpoint) const;
 
 private:
     struct link
@@ -100,6 +103,7 @@
         std::unique_ptr<endpoint_core> core;
         std::uint64_t incarnation = 0;
         std::deque<upstream_work> work;
+        std::uint64_t starts = 0;
     };
 
     void startEntry(std::size_t index);
