Record who waited when work was chosen, and load the real daemons

Found by the new load tool on the real daemons. Ruled out: the order itself, the queue's choice was right. Change: the offer keeps who waited. The new test fails before and passes after.

--- /dev/null
+++ b/bench/daemons/main.cpp
@@ -0,0 +1,182 @@
+// Load tool on the real daemons: open-loop streams through the entries, then the baseline straight to a random engine, in one run.
+#include "load/workload.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/strings/str_cat.h>
+#include <curl/curl.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <cstdio>
+#include <map>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+ABSL_FLAG(std::vector<std::string>, entries, {}, "Base addresses of the entries.");
+ABSL_FLAG(std::vector<std::string>, engines, {}, "Base addresses of the engine stand-ins, for the baseline.");
+ABSL_FLAG(std::string, key, "", "API key.");
+ABSL_FLAG(double, tokens_per_second, 1000, "Offered load.");
+ABSL_FLAG(int, seconds, 15, "Length of the load.");
+ABSL_FLAG(std::uint64_t, seed, 1, "Seed of the arrivals.");
+
+namespace wisteriashunt::load
+{
+namespace
+{
+
+/// Targets of a class, the same as declared to the router.
+struct targets
+{
+    double firstToken;
+    double betweenTokens;
+};
+
+const std::map<std::string, targets> declared{{"urgent", {1.0, 0.042}}, {"drafts", {1.5, 0.042}}, {"plans", {5.0, 0.060}}};
+
+struct figures
+{
+    int offered = 0;
+    int attained = 0;
+    int refused = 0;
+    int broken = 0;
+    int wrong = 0;
+};
+
+/// One stream, with the times of its tokens.
+class stream
+{
+public:
+    stream(const std::string &base, const arrival &request, std::string tag)
+        : m_request(request)
+        , m_tag(std::move(tag))
+        , m_url(base + "/v1/chat/completions")
+    {
+    }
+
+    void run(figures &result, std::mutex &mutex)
+    {
+        const auto begin = std::chrono::steady_clock::now();
+        const long status = perform();
+        const bool isWhole = m_tokens == m_request.answerTokens && m_isDone && !m_isWrong;
+        const double first = std::chrono::duration<double>(m_firstAt - begin).count();
+        const double gap = m_tokens > 1 ? std::chrono::duration<double>(m_lastAt - m_firstAt).count() / (m_tokens - 1) : 0;
+        const targets &target = declared.at(m_request.className);
+        const std::lock_guard lock(mutex);
+        ++result.offered;
+        result.attained += isWhole && first <= target.firstToken && gap <= target.betweenTokens ? 1 : 0;
+        result.refused += status == 429 || status == 503 ? 1 : 0;
+        result.broken += status == 200 && !isWhole ? 1 : 0;
+        result.wrong += m_isWrong ? 1 : 0;
+    }
+
+private:
+    long perform()
+    {
+        const nlohmann::json body{{"model", m_request.className},
+                                  {"stream", true},
+                                  {"max_tokens", m_request.answerTokens},
+                                  {"user", m_tag},
+                                  {"messages", {{{"role", "user"}, {"content", "hello"}}}}};
+        const std::string text = body.dump();
+        CURL *easy = curl_easy_init();
+        curl_slist *headers =
+            curl_slist_append(curl_slist_append(nullptr, "Content-Type: application/json"), ("Authorization: Bearer " + absl::GetFlag(FLAGS_key)).c_str());
+        curl_easy_setopt(easy, CURLOPT_URL, m_url.c_str());
+        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, text.c_str());
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT, 90L);
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &stream::onData);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
+        curl_easy_perform(easy);
+        long status = 0;
+        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+        curl_slist_free_all(headers);
+        curl_easy_cleanup(easy);
+        return status;
+    }
+
+    static std::size_t onData(char *data, std::size_t size, std::size_t count, void *context)
+    {
+        auto *self = static_cast<stream *>(context);
+        self->m_rest.append(data, size * count);
+        for (auto end = self->m_rest.find("\n\n"); end != std::string::npos; end = self->m_rest.find("\n\n")) {
+            self->onEvent(self->m_rest.substr(0, end));
+            self->m_rest.erase(0, end + 2);
+        }
+        return size * count;
+    }
+
+    void onEvent(const std::string &event)
+    {
+        if (event == "data: [DONE]") {
+            m_isDone = true;
+            return;
+        }
+        m_lastAt = std::chrono::steady_clock::now();
+        m_firstAt = m_tokens == 0 ? m_lastAt : m_firstAt;
+        m_isWrong = m_isWrong || event.find(absl::StrCat("\"", m_tag, ".", m_tokens, " \"")) == std::string::npos;
+        ++m_tokens;
+    }
+
+    arrival m_request;
+    std::string m_tag;
+    std::string m_url;
+    std::string m_rest;
+    std::uint32_t m_tokens = 0;
+    bool m_isDone = false;
+    bool m_isWrong = false;
+    std::chrono::steady_clock::time_point m_firstAt;
+    std::chrono::steady_clock::time_point m_lastAt;
+};
+
+void offer(const char *label, const std::vector<std::string> &bases)
+{
+    const double load = absl::GetFlag(FLAGS_tokens_per_second);
+    const std::uint64_t seed = absl::GetFlag(FLAGS_seed);
+    const auto arrivals = drawArrivals(mixedDemand(load, 0.15, 0.25, 0.6), duration::zero(), std::chrono::seconds(absl::GetFlag(FLAGS_seconds)), seed);
+    std::mt19937_64 random(seed);
+    std::map<std::string, figures> results;
+    std::mutex mutex;
+    std::vector<std::thread> threads;
+    const auto begin = std::chrono::steady_clock::now();
+    for (std::size_t i = 0; i < arrivals.size(); ++i) {
+        std::this_thread::sleep_until(begin + (arrivals[i].at - epoch));
+        const std::string &base = bases[random() % bases.size()];
+        figures *result = nullptr;
+        {
+            const std::lock_guard lock(mutex);
+            result = &results[arrivals[i].className];
+        }
+        threads.emplace_back([&mutex, result, base, request = arrivals[i], i] { stream(base, request, "q" + std::to_string(i)).run(*result, mutex); });
+    }
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    for (const auto &[name, result] : results) {
+        std::printf("%-9s %-7s offered %4d attained %6.2f%% refused %4d broken %d wrong %d\n",
+                    label,
+                    name.c_str(),
+                    result.offered,
+                    100.0 * result.attained / std::max(1, result.offered),
+                    result.refused,
+                    result.broken,
+                    result.wrong);
+    }
+}
+
+} // namespace
+} // namespace wisteriashunt::load
+
+int main(int argc, char **argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    wisteriashunt::load::offer("router", absl::GetFlag(FLAGS_entries));
+    wisteriashunt::load::offer("baseline", absl::GetFlag(FLAGS_engines));
+    return 0;
+}
--- a/src/endpoint/endpoint_core.cpp
+++ b/src/endpoint/endpoint_core.cpp
@@ -110,7 +110,8 @@
         refuse(peer, request.id, error_kind::not_ready, duration::zero());
         return;
     }
-    const chosen_work choice = offered->second.choice;
+    const open_offer taken = offered->second;
+    const chosen_work &choice = taken.choice;
     m_offers.erase(offered);
     if (!choice.work.idempotent && !m_ledger.tryStart(request.id)) {
         m_queue.refund(choice);
@@ -128,6 +129,7 @@
     m_limiter.onStart(m_now);
     m_predictor.onDeparture(m_now, m_queue.findClass(choice.work.className) == nullptr ? tierCount : m_queue.findClass(choice.work.className)->tier);
     note(event_number::attempt_started, choice.work, std::string(toString(choice.reason)));
+    std::get<decision>(m_actions.back()).waiting = taken.waiting;
     m_actions.emplace_back(start_upstream{request});
 }
 
@@ -396,7 +398,7 @@
             return;
         }
         const duration lifetime = choice->work.idempotent ? m_options.offerLifetime : m_options.claimOfferLifetime;
-        m_offers.emplace(choice->work.id, open_offer{.choice = *choice, .expires = m_now + lifetime});
+        m_offers.emplace(choice->work.id, open_offer{.choice = *choice, .expires = m_now + lifetime, .waiting = m_queue.waitingByTier()});
         note(event_number::attempt_offered, choice->work, std::string(toString(choice->reason)));
         send(choice->work.peer, offer{.id = choice->work.id, .endpointIncarnation = m_options.incarnation});
     }
--- a/src/endpoint/endpoint_core.h
+++ b/src/endpoint/endpoint_core.h
@@ -98,6 +98,8 @@
     {
         chosen_work choice;
         time_point expires;
+        /// Who waited when the work was chosen. The evidence of the start shows this moment, not that of the entry's answer.
+        std::array<std::uint32_t, tierCount> waiting{};
     };
     struct running_attempt
     {
--- a/src/evidence/decision.h
+++ b/src/evidence/decision.h
@@ -61,7 +61,7 @@
     std::string reason;
     time_point queuedAt;
     log_offset configuration = 0;
-    /// Work that waited at the moment of the decision, by tier.
+    /// Work that waited at the moment of the decision, by tier; of a start, when its slot was offered.
     std::array<std::uint32_t, tierCount> waiting{};
     double tokens = 0;
 
--- a/test/endpoint_core_test.cpp
+++ b/test/endpoint_core_test.cpp
@@ -91,6 +91,16 @@
     EXPECT_TRUE(testing::only<start_upstream>(actions).empty());
 }
 
+TEST_F(endpoint_core_test, RecordsWhoWaitedWhenTheWorkWasChosen)
+{
+    reserveWork(1, "low");
+    reserveWork(2, "low");
+    reserveWork(3, "high");
+    const auto decisions = testing::only<decision>(startWork(1));
+    ASSERT_EQ(decisions.at(0).event, event_number::attempt_started);
+    EXPECT_EQ(decisions.at(0).waiting[0], 0U) << "the higher tier came after the slot was offered";
+}
+
 TEST_F(endpoint_core_test, RefusesAStartThatNamesAnOlderIncarnation)
 {
     reserveWork(1);
