--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -183,8 +183,7 @@
         }
         for (auto &event : events) {
             if (const auto *received = std::get_if<peer_message>(&event)) {
-                exchangeConfiguration(
-                    {.type = hub_event::event_type::received, .peer = received->peer, .identity = {}, .content = received->content, .detail = {}});
+                exchangeConfiguration(received->peer, received->content);
             } else if (const auto *up = std::get_if<endpoint_connected>(&event)) {
                 m_peers.insert(up->peer);
                 m_base->note(event_number::peer_up, up->name);
@@ -208,12 +207,12 @@
     }
 }
 
-void entry_daemon::exchangeConfiguration(const hub_event &event)
+void entry_daemon::exchangeConfiguration(peer_id peer, const message &content)
 {
-    if (const auto *update = std::get_if<configuration_update>(&event.content)) {
+    if (const auto *update = std::get_if<configuration_update>(&content)) {
         m_base->configuration().adopt(update->snapshot);
-    } else if (const auto *beat = std::get_if<heartbeat>(&event.content); beat != nullptr && beat->configuration < configuration()->offset) {
-        m_hub->send(event.peer, configuration_update{.snapshot = m_base->configuration().snapshot()});
+    } else if (const auto *beat = std::get_if<heartbeat>(&content); beat != nullptr && beat->configuration < configuration()->offset) {
+        m_hub->send(peer, configuration_update{.snapshot = m_base->configuration().snapshot()});
     }
 }
 
--- a/src/daemon/entry_daemon.h
+++ b/src/daemon/entry_daemon.h
@@ -32,7 +32,7 @@
     void onRequest(std::uint64_t caller, http_request request);
     bool onHubEvent(hub_event &event);
     void onInstances(const std::vector<instance_row> &rows);
-    void exchangeConfiguration(const hub_event &event);
+    void exchangeConfiguration(peer_id peer, const message &content);
     void sendHeartbeats();
     void followClaims();
     [[nodiscard]] std::shared_ptr<const configuration_state> configuration() const;
--- a/src/evidence/decision.cpp
+++ b/src/evidence/decision.cpp
@@ -48,16 +48,12 @@
         return "offer_expired";
     case event_number::configuration_applied:
         return "configuration_applied";
-    case event_number::configuration_rejected:
-        return "configuration_rejected";
     case event_number::peer_up:
         return "peer_up";
     case event_number::peer_down:
         return "peer_down";
     case event_number::peer_refused:
         return "peer_refused";
-    case event_number::endpoint_leaving:
-        return "endpoint_leaving";
     case event_number::platform_down:
         return "platform_down";
     case event_number::platform_up:
--- a/src/evidence/evidence_chain.cpp
+++ b/src/evidence/evidence_chain.cpp
@@ -1,8 +1,8 @@
 #include "evidence/evidence_chain.h"
 
-#include <absl/strings/escaping.h>
+#include "configuration/sha256.h"
+
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 
 namespace wisteriashunt
 {
@@ -12,14 +12,6 @@
 
 using nlohmann::json;
 
-std::string sha256(const std::string &text)
-{
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-    unsigned int length = 0;
-    EVP_Digest(text.data(), text.size(), digest.data(), &length, EVP_sha256(), nullptr);
-    return absl::BytesToHexString(absl::string_view(reinterpret_cast<const char *>(digest.data()), length));
-}
-
 json toJson(const decision &value)
 {
     return {{"event", static_cast<int>(value.event)},
@@ -73,7 +65,7 @@
 
 std::string hashOf(const evidence_batch &batch)
 {
-    return sha256(contentOf(batch).dump());
+    return sha256Hex(contentOf(batch).dump());
 }
 
 evidence_chain::evidence_chain(std::string instance, std::uint64_t incarnation)
@@ -92,7 +84,7 @@
                                .hash = {},
                                .decisions = decisions};
     json record = contentOf(batch);
-    m_hash = sha256(record.dump());
+    m_hash = sha256Hex(record.dump());
     m_next += decisions.size();
     m_lost = 0;
     record["hash"] = m_hash;
--- a/src/request/router.cpp
+++ b/src/request/router.cpp
@@ -1,14 +1,13 @@
 #include "request/router.h"
 
+#include "configuration/sha256.h"
 #include "wisteriashunt/errors.h"
 
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include <algorithm>
-#include <array>
 
 namespace wisteriashunt
 {
@@ -125,21 +124,6 @@
 
 } // namespace
 
-std::string sha256Hex(const std::string &text)
-{
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-    unsigned int length = 0;
-    EVP_Digest(text.data(), text.size(), digest.data(), &length, EVP_sha256(), nullptr);
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string hex;
-    hex.reserve(2 * length);
-    for (unsigned int i = 0; i < length; ++i) {
-        hex.push_back(digits[digest.at(i) >> 4U]);
-        hex.push_back(digits[digest.at(i) & 0xfU]);
-    }
-    return hex;
-}
-
 routed_request route(const configuration_state &state, const http_request &request)
 {
     if (state.offset == 0) {
--- a/src/request/router.h
+++ b/src/request/router.h
@@ -46,9 +46,6 @@
 /// Prefix of plain services: "/services/NAME/REST" reaches the endpoint as "/REST".
 constexpr const char *servicePrefix = "/services/";
 
-/// Returns the lower-case hexadecimal SHA-256 of the text.
-[[nodiscard]] std::string sha256Hex(const std::string &text);
-
 /// Routes the request. Throws `shunt_error` with the kind that the caller must see.
 [[nodiscard]] routed_request route(const configuration_state &state, const http_request &request);
 
--- a/test/fuzz/route_fuzz.cpp
+++ b/test/fuzz/route_fuzz.cpp
@@ -1,4 +1,5 @@
 // Fuzz target: callers' requests. The first byte chooses the path, the rest is the body.
+#include "configuration/sha256.h"
 #include "request/router.h"
 #include "wisteriashunt/errors.h"
 
--- a/test/process_fixture.cpp
+++ b/test/process_fixture.cpp
@@ -1,6 +1,7 @@
 #include "process_fixture.h"
 
 #include "configuration/reducer.h"
+#include "configuration/sha256.h"
 #include "platform/http_platform.h"
 #include "request/router.h"
 #include "wisteriashunt/errors.h"
--- a/test/router_test.cpp
+++ b/test/router_test.cpp
@@ -1,4 +1,5 @@
 // From an HTTP request to a class.
+#include "configuration/sha256.h"
 #include "request/router.h"
 #include "wisteriashunt/errors.h"
 
