Remove work and reload keys in one place each

The endpoint core walked all waiting work in three loops, each over a copy of the declared classes that nothing needed; the queue now has removeIf. Both daemons held the same block that takes reloaded keys; it is in daemon_base. A comment stood above the wrong constant.

--- a/src/daemon/daemon_base.cpp
+++ b/src/daemon/daemon_base.cpp
@@ -83,6 +83,14 @@
     m_recorder->stop(lastAppendWait);
 }
 
+void daemon_base::reloadKeys(const daemon_signals &signals, peer_hub &hub)
+{
+    if (const auto keys = signals.takeReloadedKeys()) {
+        hub.setKeys(*keys);
+        note(event_number::keys_reloaded, std::to_string(keys->size()));
+    }
+}
+
 void daemon_base::markLeaving()
 {
     m_isLeaving = true;
--- a/src/daemon/daemon_base.h
+++ b/src/daemon/daemon_base.h
@@ -56,6 +56,9 @@
     /// Says that the process leaves: the list and the status page say so from now on.
     void markLeaving();
 
+    /// Gives the hub the keys of the settings file, if a signal asked for that.
+    void reloadKeys(const daemon_signals &signals, peer_hub &hub);
+
     /// Ends the threads; the evidence that is left is appended first.
     void stop();
 
--- a/src/daemon/decision_recorder.cpp
+++ b/src/daemon/decision_recorder.cpp
@@ -10,8 +10,8 @@
 namespace
 {
 
-/// Decisions gather this long, so that requests do not wake the recorder one by one.
 constexpr duration popWait = std::chrono::milliseconds(100);
+/// Decisions gather this long, so that requests do not wake the recorder one by one.
 constexpr duration gatherInterval = std::chrono::milliseconds(20);
 
 } // namespace
--- a/src/daemon/endpoint_daemon.cpp
+++ b/src/daemon/endpoint_daemon.cpp
@@ -68,12 +68,7 @@
     m_hub->start();
     m_base->start();
     while (!signals.isStopRequested() && !m_base->isDrainRequested()) {
-        if (signals.takeReloadedKeys) {
-            if (const auto keys = signals.takeReloadedKeys()) {
-                m_hub->setKeys(*keys);
-                m_base->note(event_number::keys_reloaded, std::to_string(keys->size()));
-            }
-        }
+        m_base->reloadKeys(signals, *m_hub);
         std::this_thread::sleep_for(supervisionInterval);
     }
     m_base->markLeaving();
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -80,12 +80,7 @@
     followClaims();
     m_base->counters().addGauge("open_requests", [this] { return static_cast<double>(m_openRequests.load()); });
     while (!signals.isStopRequested() && !m_base->isDrainRequested()) {
-        if (signals.takeReloadedKeys) {
-            if (const auto keys = signals.takeReloadedKeys()) {
-                m_hub->setKeys(*keys);
-                m_base->note(event_number::keys_reloaded, std::to_string(keys->size()));
-            }
-        }
+        m_base->reloadKeys(signals, *m_hub);
         m_callers->findLeavers();
         std::this_thread::sleep_for(supervisionInterval);
     }
--- a/src/endpoint/endpoint_core.cpp
+++ b/src/endpoint/endpoint_core.cpp
@@ -170,13 +170,7 @@
 
 void endpoint_core::on(const peer_lost &event)
 {
-    for (const auto &[name, declared] : std::map(m_queue.classes())) {
-        for (const auto &work : m_queue.workOfClass(name)) {
-            if (work.peer == event.peer) {
-                m_queue.remove(work.id);
-            }
-        }
-    }
+    m_queue.removeIf([&event](const waiting_work &work) { return work.peer == event.peer; });
     for (auto it = m_offers.begin(); it != m_offers.end();) {
         if (it->second.choice.work.peer == event.peer) {
             m_queue.refund(it->second.choice);
@@ -263,14 +257,8 @@
     for (const auto &orphan : m_queue.configure(event.state)) {
         refuse(orphan.peer, orphan.id, error_kind::no_endpoint, defaultRetryAfter);
     }
-    for (const auto &[name, declared] : std::map(m_queue.classes())) {
-        if (mayServe(name)) {
-            continue;
-        }
-        for (const auto &work : m_queue.workOfClass(name)) {
-            m_queue.remove(work.id);
-            refuse(work.peer, work.id, error_kind::no_endpoint, defaultRetryAfter);
-        }
+    for (const auto &work : m_queue.removeIf([this](const waiting_work &waiting) { return !mayServe(waiting.className); })) {
+        refuse(work.peer, work.id, error_kind::no_endpoint, defaultRetryAfter);
     }
     applyTargets(event.state);
 }
@@ -298,11 +286,8 @@
 void endpoint_core::on(const leave_requested &)
 {
     m_isLeaving = true;
-    for (const auto &[name, declared] : std::map(m_queue.classes())) {
-        for (const auto &work : m_queue.workOfClass(name)) {
-            m_queue.remove(work.id);
-            refuse(work.peer, work.id, error_kind::shutting_down, leavingRetryAfter);
-        }
+    for (const auto &work : m_queue.removeIf([](const waiting_work &) { return true; })) {
+        refuse(work.peer, work.id, error_kind::shutting_down, leavingRetryAfter);
     }
 }
 
--- a/src/endpoint/work_queue.cpp
+++ b/src/endpoint/work_queue.cpp
@@ -116,6 +116,20 @@
     return work;
 }
 
+std::vector<waiting_work> work_queue::removeIf(const std::function<bool(const waiting_work &work)> &matches)
+{
+    std::vector<waiting_work> removed;
+    for (const auto &[name, declared] : m_classes) {
+        for (const auto &work : workOfClass(name)) {
+            if (matches(work)) {
+                remove(work.id);
+                removed.push_back(work);
+            }
+        }
+    }
+    return removed;
+}
+
 void work_queue::markHopeless(const attempt_id &id)
 {
     const auto entry = m_index.find(id);
--- a/src/endpoint/work_queue.h
+++ b/src/endpoint/work_queue.h
@@ -69,6 +69,9 @@
     /// Removes an attempt and returns it, or nothing if it does not wait here.
     std::optional<waiting_work> remove(const attempt_id &id);
 
+    /// Removes and returns all work that matches.
+    std::vector<waiting_work> removeIf(const std::function<bool(const waiting_work &work)> &matches);
+
     /// Records that the entry was told that the work is hopeless here.
     void markHopeless(const attempt_id &id);
 
