--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,7 +21,7 @@
 constexpr std::chrono::milliseconds tickPeriod{100};
 
 /// How long after SIGTERM new connections are still taken: the balancer asks every second and needs two misses.
-constexpr std::chrono::milliseconds acceptWhileLeaving{3200};
+constexpr std::chrono::milliseconds acceptWhileLeaving{2400};
 
 /// Time kept before the end of the grace period to close what is left.
 constexpr std::chrono::milliseconds leaveMargin{400};
@@ -111,6 +111,14 @@
         const auto caller = caller_connection::adopt(m_loop, descriptor, {}, m_readinessHooks);
         m_readinessCallers.emplace(caller.get(), caller);
     });
+    if (m_options.settings.control) {
+        m_peers = std::make_unique<peer_exchange>(
+            m_loop,
+            m_log,
+            peer_exchange_options{.seeds = m_options.settings.seeds, .self = *m_options.settings.control},
+            [this] { return describe(); },
+            [this](const socket_address &from, const peer_message &message) { m_planner.onPeerDigest(toString(from), message.load, m_loop.now()); });
+    }
     m_declarations.start();
     m_endpoints.start();
     repeat(m_loop, tickPeriod, [this] { onTick(); });
@@ -118,6 +126,13 @@
     m_log.write(event_number::process_stopped, {{"open", std::to_string(m_context.openSessions)}});
 }
 
+peer_message gateway::describe()
+{
+    return {.declarationsVersion = m_context.table == nullptr ? -1 : m_context.table->version(),
+            .isLeaving = m_leavingSince.has_value(),
+            .load = m_planner.digest(m_loop.now())};
+}
+
 bool gateway::isReady() const
 {
     return m_context.table != nullptr && m_endpoints.isComplete() && !m_leavingSince;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include "gateway/gateway_context.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/log_follower.h"
+#include "gateway/peer_exchange.h"
 #include "gateway/request_session.h"
 #include "http/caller_connection.h"
 
@@ -67,6 +68,7 @@
     void beginLeaving();
     void continueLeaving();
     [[nodiscard]] bool isReady() const;
+    [[nodiscard]] peer_message describe();
 
     gateway_options m_options;
     event_loop m_loop;
@@ -77,6 +79,7 @@
     gateway_context m_context;
     log_follower m_declarations;
     log_follower m_endpoints;
+    std::unique_ptr<peer_exchange> m_peers;
     std::shared_ptr<const caller_hooks> m_callerHooks;
     std::shared_ptr<const caller_hooks> m_readinessHooks;
     std::unique_ptr<channel_listener> m_callerListener;
--- /dev/null
+++ b/src/gateway/peer_exchange.cpp
@@ -0,0 +1,138 @@
+#include "gateway/peer_exchange.h"
+
+#include "wisteriashunt/errors.h"
+
+#include <algorithm>
+#include <msgpack.hpp>
+#include <tuple>
+
+namespace wisteriashunt
+{
+
+namespace
+{
+
+/// Format of the message; a receiver that does not know it drops the message.
+constexpr int formatVersion = 1;
+
+using packed_load = std::tuple<std::string, int, std::int64_t, int, int>;
+using packed_rate = std::tuple<std::string, double>;
+using packed_address = std::tuple<std::uint32_t, std::uint16_t>;
+using packed_message =
+    std::tuple<int, std::int64_t, bool, std::vector<packed_load>, std::vector<packed_rate>, std::vector<packed_address>>;
+
+} // namespace
+
+std::string encodePeerMessage(const peer_message &message)
+{
+    std::vector<packed_load> loads;
+    for (const auto &[id, load] : message.load.endpoints) {
+        loads.emplace_back(id, load.waiting, load.waitingTokens, load.light, load.heavy);
+    }
+    const std::vector<packed_rate> rates(message.load.lightTokensPerSecond.begin(), message.load.lightTokensPerSecond.end());
+    std::vector<packed_address> peers;
+    for (const auto &peer : message.peers) {
+        peers.emplace_back(peer.ip, peer.port);
+    }
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, packed_message{formatVersion, message.declarationsVersion, message.isLeaving, loads, rates, peers});
+    return {buffer.data(), buffer.size()};
+}
+
+peer_message decodePeerMessage(std::string_view bytes)
+{
+    try {
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        const auto [format, version, isLeaving, loads, rates, peers] = handle.get().as<packed_message>();
+        if (format != formatVersion) {
+            throw shunt_error(error_kind::malformed_frame, "unknown format " + std::to_string(format));
+        }
+        peer_message message{.declarationsVersion = version, .isLeaving = isLeaving};
+        for (const auto &[id, waiting, tokens, light, heavy] : loads) {
+            message.load.endpoints[id] = {.waiting = waiting, .waitingTokens = tokens, .light = light, .heavy = heavy};
+        }
+        for (const auto &[service, rate] : rates) {
+            message.load.lightTokensPerSecond[service] = rate;
+        }
+        for (const auto &[ip, port] : peers) {
+            message.peers.push_back({.ip = ip, .port = port});
+        }
+        return message;
+    } catch (const msgpack::type_error &) {
+        throw shunt_error(error_kind::malformed_frame, "a field of another type");
+    } catch (const msgpack::unpack_error &) {
+        throw shunt_error(error_kind::malformed_frame, "not msgpack");
+    }
+}
+
+peer_exchange::peer_exchange(event_loop &loop, event_log &log, const peer_exchange_options &options, describe_hook describe, message_hook onMessage)
+    : m_loop(loop)
+    , m_log(log)
+    , m_options(options)
+    , m_describe(std::move(describe))
+    , m_onMessage(std::move(onMessage))
+    , m_socket(loop, options.self, [this](const socket_address &from, std::string_view bytes) { onDatagram(from, bytes); })
+{
+    repeat(loop, options.busyPeriod, [this] { speak(); });
+}
+
+std::vector<socket_address> peer_exchange::livePeers() const
+{
+    std::vector<socket_address> peers;
+    for (const auto &[peer, at] : m_heard) {
+        if (m_loop.now() - at < m_options.peerLifetime) {
+            peers.push_back(peer);
+        }
+    }
+    return peers;
+}
+
+std::vector<socket_address> peer_exchange::audience() const
+{
+    auto peers = livePeers();
+    peers.insert(peers.end(), m_options.seeds.begin(), m_options.seeds.end());
+    for (const auto &[peer, at] : m_told) {
+        if (m_loop.now() - at < m_options.peerLifetime) {
+            peers.push_back(peer);
+        }
+    }
+    std::sort(peers.begin(), peers.end());
+    peers.erase(std::unique(peers.begin(), peers.end()), peers.end());
+    std::erase(peers, m_options.self);
+    return peers;
+}
+
+void peer_exchange::speak()
+{
+    auto message = m_describe();
+    if (message.load == load_digest{} && m_loop.now() - m_lastSpoken < m_options.idlePeriod) {
+        return;
+    }
+    m_lastSpoken = m_loop.now();
+    message.peers = livePeers();
+    const auto bytes = encodePeerMessage(message);
+    for (const auto &peer : audience()) {
+        // A datagram that the kernel refuses is as good as lost on the way; the next one follows.
+        m_socket.send(peer, bytes);
+    }
+}
+
+void peer_exchange::onDatagram(const socket_address &from, std::string_view bytes)
+{
+    try {
+        const auto message = decodePeerMessage(bytes);
+        const auto [position, isNew] = m_heard.try_emplace(from, m_loop.now());
+        if (isNew || m_loop.now() - position->second > m_options.peerLifetime) {
+            m_log.write(event_number::peer_up, {{"peer", toString(from)}});
+        }
+        position->second = m_loop.now();
+        for (const auto &peer : message.peers) {
+            m_told[peer] = m_loop.now();
+        }
+        m_onMessage(from, message);
+    } catch (const shunt_error &error) {
+        m_log.write(event_number::peer_refused, {{"peer", toString(from)}, {"reason", error.what()}});
+    }
+}
+
+} // namespace wisteriashunt
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -74,14 +74,14 @@
     if (m_route == nullptr) {
         return error_kind::unknown_route;
     }
-    m_tier = m_route->tier;
+    m_rank = m_table->rankOf(*m_route, nullptr);
     if (!m_route->isPublic && !m_table->declarations().workspaces.empty()) {
         const auto *workspace = m_table->findWorkspace(m_facts.apiKey);
         if (workspace == nullptr) {
             return error_kind::unauthenticated;
         }
         m_workspace = workspace->name;
-        m_tier = workspace->tier.value_or(m_tier);
+        m_rank = m_table->rankOf(*m_route, workspace);
     }
     const auto *service = chooseService(*m_route, m_facts.attemptId);
     if (service == nullptr) {
@@ -153,7 +153,7 @@
                                      {.endpointId = endpoint.record.id,
                                       .workspace = m_workspace,
                                       .timeLeft = std::max<duration>(timeLeft(), std::chrono::milliseconds(1)),
-                                      .priority = m_placementRequest.hasPrompt ? std::optional(std::clamp(m_tier, 0, lowestPriority)) : std::nullopt,
+                                      .priority = m_placementRequest.hasPrompt ? std::optional(std::min(m_rank, lowestPriority)) : std::nullopt,
                                       .lastEvent = m_resumeAfter});
     if (!m_request.body.empty() || m_request.method != "GET") {
         appendHeader(out, "Content-Length", std::to_string(m_request.body.size()));
@@ -173,6 +173,19 @@
     ++m_sentAttempts;
     m_placementRequest.excluded.push_back(placed.endpoint->record.id);
     m_context.planner.onSent(m_placementRequest, placed, m_sentAt);
+    const auto load = m_context.planner.loadOf(placed.endpoint->record.id, m_sentAt);
+    m_context.log.write(event_number::attempt_started,
+                        {{"request", m_facts.attemptId},
+                         {"endpoint", placed.endpoint->record.id},
+                         {"rank", std::to_string(m_rank)},
+                         {"prompt", std::to_string(m_facts.promptTokens)},
+                         {"unread", std::to_string(placed.uncachedTokens)},
+                         {"heavy", placed.isHeavy ? "yes" : "no"},
+                         {"light_there", std::to_string(load.light)},
+                         {"heavy_there", std::to_string(load.heavy)},
+                         {"tokens_there", std::to_string(load.waitingTokens)},
+                         {"predicted_ms", milliseconds(placed.predictedFirstByte)},
+                         {"entries", std::to_string(m_context.planner.liveEntries(m_sentAt))}});
     m_exchange = m_context.pool.take(placed.endpoint);
     const auto self = shared_from_this();
     m_exchange->send(buildRequest(*placed.endpoint),
@@ -213,11 +226,23 @@
     }
 }
 
+void request_session::notePace()
+{
+    const auto now = m_context.loop.now();
+    if (!m_hasForwarded) {
+        m_firstByteAfter = now - m_arrival;
+    } else {
+        m_longestPause = std::max(m_longestPause, now - m_lastByteAt);
+    }
+    m_lastByteAt = now;
+}
+
 void request_session::forwardEvents(std::string_view bytes)
 {
     if (bytes.empty()) {
         return;
     }
+    notePace();
     if (!m_hasForwarded) {
         m_hasForwarded = true;
         std::string head;
@@ -407,10 +432,12 @@
                         {{"request", m_facts.attemptId},
                          {"route", m_route == nullptr ? "-" : m_route->name},
                          {"workspace", m_workspace.empty() ? "-" : m_workspace},
-                         {"tier", std::to_string(m_tier)},
+                         {"rank", std::to_string(m_rank)},
                          {"reason", reason},
                          {"endpoint", m_placementRequest.excluded.empty() ? "-" : m_placementRequest.excluded.back()},
                          {"attempts", std::to_string(m_sentAttempts)},
+                         {"first_ms", milliseconds(m_firstByteAfter)},
+                         {"pause_ms", milliseconds(m_longestPause)},
                          {"ms", milliseconds(m_context.loop.now() - m_arrival)},
                          {"version", m_table == nullptr ? "-" : std::to_string(m_table->version())}});
 }
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -44,6 +44,7 @@
     void onTimeout();
 
     void forwardEvents(std::string_view bytes);
+    void notePace();
     void afterAttempt(attempt_outcome outcome);
     void passOn();
     void refuse(error_kind kind, duration retryAfter);
@@ -65,7 +66,8 @@
     const route *m_route = nullptr;
     std::string m_service;
     std::string m_workspace;
-    int m_tier = 0;
+    /// Place in the order of urgency; 0 is the first.
+    int m_rank = 0;
     time_point m_arrival;
     time_point m_deadline;
     timer_id m_timer = 0;
@@ -75,6 +77,10 @@
     std::shared_ptr<upstream_connection> m_exchange;
     time_point m_sentAt;
     bool m_hasFirstByte = false;
+    /// Time from the arrival to the first forwarded byte, and the longest pause after it.
+    duration m_firstByteAfter{};
+    duration m_longestPause{};
+    time_point m_lastByteAt;
 
     int m_sentAttempts = 0;
     int m_failedConnects = 0;
--- a/src/net/byte_channel.cpp
+++ b/src/net/byte_channel.cpp
@@ -31,15 +31,6 @@
 /// Keep-alive probes that must stay unanswered before the kernel gives up.
 constexpr int keepAliveProbes = 2;
 
-sockaddr_in toKernel(const socket_address &address)
-{
-    sockaddr_in kernel{};
-    kernel.sin_family = AF_INET;
-    kernel.sin_port = htons(address.port);
-    kernel.sin_addr.s_addr = htonl(address.ip);
-    return kernel;
-}
-
 void setOption(int descriptor, int level, int name, int value)
 {
     setsockopt(descriptor, level, name, &value, sizeof value);
@@ -67,6 +58,15 @@
     return {.ip = ntohl(ip.s_addr), .port = static_cast<std::uint16_t>(port)};
 }
 
+sockaddr_in toKernelAddress(const socket_address &address)
+{
+    sockaddr_in kernel{};
+    kernel.sin_family = AF_INET;
+    kernel.sin_port = htons(address.port);
+    kernel.sin_addr.s_addr = htonl(address.ip);
+    return kernel;
+}
+
 std::string toString(const socket_address &address)
 {
     const in_addr ip{.s_addr = htonl(address.ip)};
@@ -118,7 +118,7 @@
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const std::shared_ptr<byte_channel> channel(new byte_channel(loop, descriptor, options, std::move(hooks)));
     channel->m_isConnecting = true;
-    const sockaddr_in address = toKernel(peer);
+    const sockaddr_in address = toKernelAddress(peer);
     const auto fail = [weak = channel->weak_from_this()] {
         if (const auto self = weak.lock(); self != nullptr && self->m_isConnecting) {
             self->end(channel_end::never_connected);
@@ -348,7 +348,7 @@
     , m_onAccept(std::move(onAccept))
 {
     setOption(m_descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
-    const sockaddr_in kernel = toKernel(address);
+    const sockaddr_in kernel = toKernelAddress(address);
     if (bind(m_descriptor, reinterpret_cast<const sockaddr *>(&kernel), sizeof kernel) != 0 || listen(m_descriptor, listenBacklog) != 0) {
         throw shunt_error(error_kind::not_ready, "cannot listen on " + toString(address) + ": " + std::strerror(errno));
     }
--- a/src/net/byte_channel.h
+++ b/src/net/byte_channel.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <netinet/in.h>
 #include <string>
 #include <string_view>
 
@@ -26,6 +27,9 @@
 /// Writes the address as "a.b.c.d:port".
 [[nodiscard]] std::string toString(const socket_address &address);
 
+/// The address as the kernel takes it.
+[[nodiscard]] sockaddr_in toKernelAddress(const socket_address &address);
+
 /// Why a connection ended.
 enum class channel_end {
     closed_by_peer,
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -24,6 +24,7 @@
 {
     for (const auto &declared : m_declarations.routes) {
         m_routes[normalizedHost(declared.host)][declared.pathPrefix] = &declared;
+        m_routeTiers = std::max(m_routeTiers, declared.tier + 1);
     }
     for (const auto &workspace : m_declarations.workspaces) {
         for (const auto &key : workspace.apiKeys) {
@@ -69,6 +70,12 @@
     return position == m_services.end() ? nullptr : position->second;
 }
 
+int route_table::rankOf(const route &route, const workspace_declaration *workspace) const
+{
+    const int workspaceTier = workspace == nullptr ? 0 : workspace->tier.value_or(0);
+    return workspaceTier * m_routeTiers + route.tier;
+}
+
 const routing_declarations &route_table::declarations() const
 {
     return m_declarations;
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -30,6 +30,10 @@
     /// The declaration of the service, or nullptr.
     [[nodiscard]] const service_declaration *findService(const std::string &name) const;
 
+    /// Place of a request in the order of urgency, 0 being the first: the workspace's tier decides, the route's tier among equals.
+    /// workspace may be nullptr.
+    [[nodiscard]] int rankOf(const route &route, const workspace_declaration *workspace) const;
+
     [[nodiscard]] const routing_declarations &declarations() const;
     [[nodiscard]] std::int64_t version() const;
 
@@ -39,6 +43,7 @@
     std::unordered_map<std::string, std::unordered_map<std::string, const route *>> m_routes;
     std::unordered_map<std::string, const workspace_declaration *> m_workspaces;
     std::unordered_map<std::string, const service_declaration *> m_services;
+    int m_routeTiers = 1;
 };
 
 /// Chooses the service of a request by the weights of the route. The same key always gets the same service.
