Place long prompts where any entry has placed their parts before

Cause: the home of a part was computed, and moved with every change of the group of short-prompt engines; an endpoint that had once been slow got a factor that never faded, so engines stood idle beside others with ten times the work.

Change: digests carry placements; the choice follows the map of who keeps which part; slowness halves every 2 s.

Ruled out: too few distinct parts (all long prompts have three, 405 different second parts).

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <utility>
 
 namespace wisteriashunt
 {
@@ -12,8 +13,11 @@
 
 /// Weight of the newest observation in an endpoint's slowness.
 constexpr double slownessSmoothing = 0.15;
-constexpr double leastSlowness = 0.5;
-constexpr double mostSlowness = 8;
+constexpr double leastSlowness = 0.7;
+constexpr double mostSlowness = 6;
+
+/// Half-life of what has been learnt of an endpoint's slowness: one that gets no work must be tried again.
+constexpr double slownessHalfLifeSeconds = 2;
 
 /// Time constant of the rate of short prompts.
 constexpr double rateSeconds = 2;
@@ -21,6 +25,9 @@
 /// Parts remembered before expired ones are dropped.
 constexpr std::size_t rememberedParts = 4096;
 
+/// Placements that one digest carries at most; more than a burst brings in a period.
+constexpr std::size_t placementsInDigest = 256;
+
 /// Share of a service's endpoints that must be usable before failing ones are left out.
 constexpr double leastUsableShare = 0.5;
 
@@ -120,11 +127,18 @@
     return usable;
 }
 
-double placement_planner::millisecondsToRead(const std::string &endpointId, std::int64_t tokens) const
+double placement_planner::slownessOf(const std::string &endpointId, time_point now) const
+{
+    const auto known = m_slowness.find(endpointId);
+    if (known == m_slowness.end()) {
+        return 1;
+    }
+    return 1 + (known->second.factor - 1) * std::exp2(-toSeconds(now - known->second.at) / slownessHalfLifeSeconds);
+}
+
+double placement_planner::millisecondsToRead(const std::string &endpointId, std::int64_t tokens, time_point now) const
 {
-    const auto slowness = m_slowness.find(endpointId);
-    const double factor = slowness == m_slowness.end() ? 1 : slowness->second;
-    return factor * static_cast<double>(tokens) / m_options.tokensPerMillisecond;
+    return slownessOf(endpointId, now) * static_cast<double>(tokens) / m_options.tokensPerMillisecond;
 }
 
 placement_decision placement_planner::place(const placement_request &request, time_point now)
@@ -199,7 +213,7 @@
         const auto position = static_cast<std::size_t>(&each - usable.data());
         const double slots = std::max(1, each.endpoint->record.slots);
         const double fill = each.load.total() / slots;
-        const double readMilliseconds = millisecondsToRead(each.endpoint->record.id, each.load.waitingTokens + request.promptTokens);
+        const double readMilliseconds = millisecondsToRead(each.endpoint->record.id, each.load.waitingTokens + request.promptTokens, now);
         // Outside the group an engine may begin to read a long prompt at any moment.
         constexpr double outsideMilliseconds = 250;
         constexpr double fullMilliseconds = 150;
@@ -208,14 +222,14 @@
             + failurePenalty * fullMilliseconds * each.endpoint->health.failureShare();
     };
     const auto best = std::min_element(usable.begin(), usable.end(), [&](const candidate &left, const candidate &right) { return cost(left) < cost(right); });
-    const double wait = millisecondsToRead(best->endpoint->record.id, best->load.waitingTokens + request.promptTokens);
+    const double wait = millisecondsToRead(best->endpoint->record.id, best->load.waitingTokens + request.promptTokens, now);
     return {.chosen = {.endpoint = best->endpoint,
                        .uncachedTokens = request.promptTokens,
                        .isHeavy = false,
                        .predictedFirstByte = fromMilliseconds(m_options.baseMilliseconds + wait)}};
 }
 
-std::int64_t placement_planner::uncachedTokens(const placement_request &request, const candidate &at, bool isHome, time_point now) const
+std::int64_t placement_planner::uncachedTokens(const placement_request &request, const candidate &at, time_point now) const
 {
     if (request.prompt.empty()) {
         return request.promptTokens;
@@ -224,12 +238,11 @@
     for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i) {
         const auto &part = request.prompt[i];
         const auto uses = m_parts.find(part.id);
-        bool isKept = isHome;
-        if (uses != m_parts.end()) {
-            const auto use = uses->second.find(at.endpoint->record.id);
-            isKept = isKept || (use != uses->second.end() && now - use->second < m_options.partLifetime);
+        if (uses == m_parts.end()) {
+            break;
         }
-        if (!isKept) {
+        const auto use = uses->second.find(at.endpoint->record.id);
+        if (use == uses->second.end() || now - use->second > m_options.partLifetime) {
             break;
         }
         shared += part.tokens;
@@ -241,24 +254,25 @@
 {
     const std::size_t group = std::min(lightGroupSize(request.service, now), usable.size() - 1);
     const std::uint64_t key = affinityKey(request.prompt);
-    const auto rank = [key](const candidate &each) { return mix(key ^ each.order); };
-    const auto home = std::max_element(usable.begin() + static_cast<std::ptrdiff_t>(group), usable.end(), [&](const candidate &left, const candidate &right) {
-        return rank(left) < rank(right);
-    });
+    // Entries that place the same new part at the same moment agree on the endpoint if nothing else tells them apart.
+    const auto tieBreak = [key](const candidate &each) {
+        constexpr double mostMilliseconds = 20;
+        return mostMilliseconds * static_cast<double>(mix(key ^ each.order)) / 18446744073709551615.0;
+    };
     const candidate *best = nullptr;
     double bestCost = 0;
     std::int64_t bestUncached = 0;
     double bestWait = 0;
     for (std::size_t i = 0; i < usable.size(); ++i) {
         const auto &each = usable[i];
-        const auto uncached = uncachedTokens(request, each, &each == &*home, now);
-        const double wait = millisecondsToRead(each.endpoint->record.id, each.load.waitingTokens + uncached);
+        const auto uncached = uncachedTokens(request, each, now);
+        const double wait = millisecondsToRead(each.endpoint->record.id, each.load.waitingTokens + uncached, now);
         const double slots = std::max(1, each.endpoint->record.slots);
         // A long prompt stops every stream of the engine while it is read in.
         constexpr double stoppedStreamMilliseconds = 60;
         constexpr double insideGroupMilliseconds = 400;
         constexpr double overfullMilliseconds = 3000;
-        const double cost = wait + stoppedStreamMilliseconds * each.load.light + (i < group ? insideGroupMilliseconds : 0)
+        const double cost = wait + tieBreak(each) + stoppedStreamMilliseconds * each.load.light + (i < group ? insideGroupMilliseconds : 0)
             + overfullMilliseconds * std::max(0.0, each.load.total() / slots - 1) + failurePenalty * 100 * each.endpoint->health.failureShare();
         if (best == nullptr || cost < bestCost) {
             best = &each;
@@ -290,17 +304,25 @@
         service.lightTokensPerSecond += static_cast<double>(request.promptTokens) / rateSeconds;
         return;
     }
+    for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i) {
+        rememberPart(request.prompt[i].id, id, now);
+        if (m_newPlacements.size() < placementsInDigest) {
+            m_newPlacements.push_back({.part = request.prompt[i].id, .endpointId = id});
+        }
+    }
+}
+
+void placement_planner::rememberPart(std::uint64_t part, const std::string &endpointId, time_point now)
+{
     if (m_parts.size() > rememberedParts) {
-        std::erase_if(m_parts, [&](const auto &part) {
-            return std::all_of(part.second.begin(), part.second.end(), [&](const auto &use) { return now - use.second > m_options.partLifetime; });
+        std::erase_if(m_parts, [&](const auto &known) {
+            return std::all_of(known.second.begin(), known.second.end(), [&](const auto &use) { return now - use.second > m_options.partLifetime; });
         });
     }
-    for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i) {
-        m_parts[request.prompt[i].id][id] = now;
-    }
+    m_parts[part][endpointId] = now;
 }
 
-void placement_planner::onFirstByte(const placement &placed, duration sinceSent)
+void placement_planner::onFirstByte(const placement &placed, duration sinceSent, time_point now)
 {
     auto &load = m_own[placed.endpoint->record.id];
     --load.waiting;
@@ -308,9 +330,10 @@
     if (placed.predictedFirstByte == duration{}) {
         return;
     }
-    auto &slowness = m_slowness.try_emplace(placed.endpoint->record.id, 1.0).first->second;
+    const auto &id = placed.endpoint->record.id;
     const double ratio = std::clamp(toSeconds(sinceSent) / toSeconds(placed.predictedFirstByte), leastSlowness, mostSlowness);
-    slowness = std::clamp(slowness * (1 + slownessSmoothing * (ratio - 1)), leastSlowness, mostSlowness);
+    const double factor = slownessOf(id, now) * (1 + slownessSmoothing * (ratio - 1));
+    m_slowness[id] = {.factor = std::clamp(factor, leastSlowness, mostSlowness), .at = now};
 }
 
 void placement_planner::onFinished(const placement &placed, bool hadFirstByte)
@@ -337,11 +360,15 @@
             made.lightTokensPerSecond[name] = service.lightTokensPerSecond;
         }
     }
+    made.placements = std::exchange(m_newPlacements, {});
     return made;
 }
 
 void placement_planner::onPeerDigest(const std::string &peer, load_digest digest, time_point now)
 {
+    for (const auto &placed : digest.placements) {
+        rememberPart(placed.part, placed.endpointId, now);
+    }
     m_peers[peer] = {.digest = std::move(digest), .at = now};
 }
 
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -39,12 +39,23 @@
     bool operator==(const endpoint_load &) const = default;
 };
 
-/// What an entry tells the others of its own load. Sent as a whole; the newest replaces what came before.
+/// A shared part of a prompt that was sent to an endpoint, which keeps it from then on.
+struct part_placement
+{
+    std::uint64_t part = 0;
+    std::string endpointId;
+
+    bool operator==(const part_placement &) const = default;
+};
+
+/// What an entry tells the others of its own load. The newest loads replace what came before; placements add to it.
 struct load_digest
 {
     std::map<std::string, endpoint_load> endpoints;
     /// Prompt tokens of short-prompt requests a second, by service.
     std::map<std::string, double> lightTokensPerSecond;
+    /// Since the last digest.
+    std::vector<part_placement> placements;
 
     bool operator==(const load_digest &) const = default;
 };
@@ -122,7 +133,7 @@
 
     /// The request was sent. Each onSent is followed by one onFinished, and by onFirstByte before it if an answer began.
     void onSent(const placement_request &request, const placement &placed, time_point now);
-    void onFirstByte(const placement &placed, duration sinceSent);
+    void onFirstByte(const placement &placed, duration sinceSent, time_point now);
     void onFinished(const placement &placed, bool hadFirstByte);
 
     /// The own load, for the other entries.
@@ -160,8 +171,10 @@
     [[nodiscard]] placement_decision placeByLoad(const std::vector<candidate> &usable) const;
     [[nodiscard]] placement_decision placeLight(const placement_request &request, std::vector<candidate> usable, time_point now);
     [[nodiscard]] placement_decision placeHeavy(const placement_request &request, std::vector<candidate> usable, time_point now);
-    [[nodiscard]] std::int64_t uncachedTokens(const placement_request &request, const candidate &at, bool isHome, time_point now) const;
-    [[nodiscard]] double millisecondsToRead(const std::string &endpointId, std::int64_t tokens) const;
+    [[nodiscard]] std::int64_t uncachedTokens(const placement_request &request, const candidate &at, time_point now) const;
+    [[nodiscard]] double millisecondsToRead(const std::string &endpointId, std::int64_t tokens, time_point now) const;
+    [[nodiscard]] double slownessOf(const std::string &endpointId, time_point now) const;
+    void rememberPart(std::uint64_t part, const std::string &endpointId, time_point now);
     void decayRate(service_state &service, time_point now) const;
 
     const endpoint_roster &m_roster;
@@ -170,8 +183,14 @@
     std::unordered_map<std::string, endpoint_load> m_own;
     std::map<std::string, peer_state> m_peers;
     std::unordered_map<std::string, service_state> m_services;
-    /// How much longer first bytes take than predicted, by endpoint.
-    std::unordered_map<std::string, double> m_slowness;
+    /// How much longer first bytes take than predicted.
+    struct slowness
+    {
+        double factor = 1;
+        time_point at;
+    };
+    std::unordered_map<std::string, slowness> m_slowness;
+    std::vector<part_placement> m_newPlacements;
     /// Last use of a prompt part, by endpoint.
     std::unordered_map<std::uint64_t, std::unordered_map<std::string, time_point>> m_parts;
 };
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -18,8 +18,9 @@
 using packed_load = std::tuple<std::string, int, std::int64_t, int, int>;
 using packed_rate = std::tuple<std::string, double>;
 using packed_address = std::tuple<std::uint32_t, std::uint16_t>;
-using packed_message =
-    std::tuple<int, std::int64_t, bool, std::vector<packed_load>, std::vector<packed_rate>, std::vector<packed_address>>;
+using packed_placement = std::tuple<std::uint64_t, std::string>;
+using packed_message = std::
+    tuple<int, std::int64_t, bool, std::vector<packed_load>, std::vector<packed_rate>, std::vector<packed_placement>, std::vector<packed_address>>;
 
 } // namespace
 
@@ -30,12 +31,16 @@
         loads.emplace_back(id, load.waiting, load.waitingTokens, load.light, load.heavy);
     }
     const std::vector<packed_rate> rates(message.load.lightTokensPerSecond.begin(), message.load.lightTokensPerSecond.end());
+    std::vector<packed_placement> placements;
+    for (const auto &placed : message.load.placements) {
+        placements.emplace_back(placed.part, placed.endpointId);
+    }
     std::vector<packed_address> peers;
     for (const auto &peer : message.peers) {
         peers.emplace_back(peer.ip, peer.port);
     }
     msgpack::sbuffer buffer;
-    msgpack::pack(buffer, packed_message{formatVersion, message.declarationsVersion, message.isLeaving, loads, rates, peers});
+    msgpack::pack(buffer, packed_message{formatVersion, message.declarationsVersion, message.isLeaving, loads, rates, placements, peers});
     return {buffer.data(), buffer.size()};
 }
 
@@ -43,7 +48,7 @@
 {
     try {
         const auto handle = msgpack::unpack(bytes.data(), bytes.size());
-        const auto [format, version, isLeaving, loads, rates, peers] = handle.get().as<packed_message>();
+        const auto [format, version, isLeaving, loads, rates, placements, peers] = handle.get().as<packed_message>();
         if (format != formatVersion) {
             throw shunt_error(error_kind::malformed_frame, "unknown format " + std::to_string(format));
         }
@@ -54,6 +59,9 @@
         for (const auto &[service, rate] : rates) {
             message.load.lightTokensPerSecond[service] = rate;
         }
+        for (const auto &[part, id] : placements) {
+            message.load.placements.push_back({.part = part, .endpointId = id});
+        }
         for (const auto &[ip, port] : peers) {
             message.peers.push_back({.ip = ip, .port = port});
         }
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -179,6 +179,7 @@
                          {"endpoint", placed.endpoint->record.id},
                          {"rank", std::to_string(m_rank)},
                          {"prompt", std::to_string(m_facts.promptTokens)},
+                         {"parts", std::to_string(m_facts.prompt.size())},
                          {"unread", std::to_string(placed.uncachedTokens)},
                          {"heavy", placed.isHeavy ? "yes" : "no"},
                          {"light_there", std::to_string(load.light)},
@@ -217,7 +218,7 @@
 {
     if (!m_hasFirstByte && !m_response.didNotRun) {
         m_hasFirstByte = true;
-        m_context.planner.onFirstByte(*m_placed, m_context.loop.now() - m_sentAt);
+        m_context.planner.onFirstByte(*m_placed, m_context.loop.now() - m_sentAt, m_context.loop.now());
     }
     if (!isStreamSuccess()) {
         m_body.append(bytes);
