Bound the long prompts under way at an engine and keep them off the engines of short ones

Change: at most eight long prompts under way at an engine, refused at once beyond; none in the group of short prompts, which is filled to 0.8 of its slots and 0.55 of its time for reading (0.6 and 0.3 before).

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -263,17 +263,17 @@
     double bestCost = 0;
     std::int64_t bestUncached = 0;
     double bestWait = 0;
-    for (std::size_t i = 0; i < usable.size(); ++i) {
+    const auto isFull = [this](const candidate &each) { return each.load.heavy >= m_options.heavyPerEndpoint; };
+    constexpr double fullMilliseconds = 3000;
+    for (std::size_t i = group; i < usable.size(); ++i) {
         const auto &each = usable[i];
         const auto uncached = uncachedTokens(request, each, now);
         const double wait = millisecondsToRead(each.endpoint->record.id, each.load.waitingTokens + uncached, now);
         const double slots = std::max(1, each.endpoint->record.slots);
         // A long prompt stops every stream of the engine while it is read in.
         constexpr double stoppedStreamMilliseconds = 60;
-        constexpr double insideGroupMilliseconds = 400;
         constexpr double overfullMilliseconds = 3000;
-        const double cost = wait + tieBreak(each) + stoppedStreamMilliseconds * each.load.light + (i < group ? insideGroupMilliseconds : 0)
-            + overfullMilliseconds * std::max(0.0, each.load.total() / slots - 1) + failurePenalty * 100 * each.endpoint->health.failureShare();
+        const double cost = wait + (isFull(each) ? fullMilliseconds : 0) + tieBreak(each) + stoppedStreamMilliseconds * each.load.light + overfullMilliseconds * std::max(0.0, each.load.total() / slots - 1) + failurePenalty * 100 * each.endpoint->health.failureShare();
         if (best == nullptr || cost < bestCost) {
             best = &each;
             bestCost = cost;
@@ -282,8 +282,8 @@
         }
     }
     const auto predicted = fromMilliseconds(m_options.baseMilliseconds + bestWait);
-    if (predicted > request.usefulWait) {
-        return {.refusal = placement_refusal::overloaded, .retryAfter = predicted};
+    if (isFull(*best) || predicted > request.usefulWait) {
+        return {.refusal = placement_refusal::overloaded, .retryAfter = std::max<duration>(predicted, std::chrono::seconds(1))};
     }
     return {.chosen = {.endpoint = best->endpoint, .uncachedTokens = bestUncached, .isHeavy = true, .predictedFirstByte = predicted}};
 }
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -71,10 +71,13 @@
     double tokensPerMillisecond = 45;
     /// Time to a first event beside reading the prompt.
     double baseMilliseconds = 30;
+    /// Long-prompt requests under way at one engine. Reading prompts one after the other leaves no steps for the streams that have begun:
+    /// with more of them than this, more end late or not at all than are gained.
+    int heavyPerEndpoint = 8;
     /// Share of the slots that short-prompt requests fill before they take another engine.
-    double lightFill = 0.6;
+    double lightFill = 0.8;
     /// Share of an engine's time that may go into reading short prompts before they take another engine.
-    double lightPrefillShare = 0.3;
+    double lightPrefillShare = 0.55;
     /// Time for which the group of short-prompt engines keeps its size after the demand has fallen.
     duration groupHold = std::chrono::seconds(3);
     /// Time for which an engine is expected to keep a shared part; engines of today's sites keep them longer.
