Refuse requests that reach a leaving entry too late to be served

The group of short-prompt engines follows the rate over one second, not two, and counts long prompts under way there.

Conclusion: kept for the start of a burst, where the slower rate sent everything to one engine.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -20,7 +20,7 @@
 constexpr double slownessHalfLifeSeconds = 2;
 
 /// Time constant of the rate of short prompts.
-constexpr double rateSeconds = 2;
+constexpr double rateSeconds = 1;
 
 /// Parts remembered before expired ones are dropped.
 constexpr std::size_t rememberedParts = 4096;
@@ -216,9 +216,10 @@
         const double readMilliseconds = millisecondsToRead(each.endpoint->record.id, each.load.waitingTokens + request.promptTokens, now);
         // Outside the group an engine may begin to read a long prompt at any moment.
         constexpr double outsideMilliseconds = 250;
+        constexpr double perHeavyMilliseconds = 30;
         constexpr double fullMilliseconds = 150;
         constexpr double overfullMilliseconds = 3000;
-        return readMilliseconds + fullMilliseconds * fill + overfullMilliseconds * std::max(0.0, fill - 1) + (position < group ? 0 : outsideMilliseconds)
+        return readMilliseconds + fullMilliseconds * fill + overfullMilliseconds * std::max(0.0, fill - 1) + (position < group ? 0 : outsideMilliseconds) + perHeavyMilliseconds * each.load.heavy
             + failurePenalty * fullMilliseconds * each.endpoint->health.failureShare();
     };
     const auto best = std::min_element(usable.begin(), usable.end(), [&](const candidate &left, const candidate &right) { return cost(left) < cost(right); });
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -304,7 +304,6 @@
 void gateway::beginLeaving()
 {
     m_leavingSince = m_loop.now();
-    m_context.isLeaving = true;
     m_log.write(event_number::process_leaving, {{"open", std::to_string(m_context.openSessions)}, {"callers", std::to_string(m_callers.size())}});
 }
 
@@ -312,6 +311,7 @@
 {
     const auto since = m_loop.now() - *m_leavingSince;
     if (since > acceptWhileLeaving) {
+        m_context.isClosing = true;
         m_callerListener->close();
         std::vector<std::shared_ptr<caller_connection>> idle;
         for (const auto &[address, caller] : m_callers) {
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -32,7 +32,8 @@
     std::unordered_map<std::string, retry_allowance> allowances;
     /// Sessions that are not finished.
     std::size_t openSessions = 0;
-    bool isLeaving = false;
+    /// New requests are refused: too little of the grace period is left to serve them.
+    bool isClosing = false;
 
     [[nodiscard]] retry_allowance &allowanceOf(const std::string &service)
     {
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -68,6 +68,9 @@
     if (m_table == nullptr) {
         return error_kind::not_ready;
     }
+    if (m_context.isClosing) {
+        return error_kind::shutting_down;
+    }
     m_facts = m_context.dialect.readRequest(m_request.headers);
     const auto *host = findHeader(m_request.headers, "host");
     m_route = host == nullptr ? nullptr : m_table->find(*host, m_request.target);
