--- a/src/gateway/log_follower.cpp
+++ b/src/gateway/log_follower.cpp
@@ -193,7 +193,7 @@
     m_backoff = {};
     m_lastAnswer = m_loop.now();
     const bool isReturn = !m_isReachable;
-    m_timing = isReturn ? record_timing::first_after_outage
+    m_timing = isReturn                               ? record_timing::first_after_outage
         : m_loop.now() - m_lastFailure < outageShadow ? record_timing::soon_after_outage
                                                       : record_timing::steady;
     if (isReturn) {
--- /dev/null
+++ b/test/adapter_test.cpp
@@ -0,0 +1,177 @@
+// The platform's settings, fields, records and calls, and what is done with bad ones.
+#include "platform/adapter.h"
+#include "wisteriashunt/errors.h"
+
+#include <gtest/gtest.h>
+
+namespace wisteriashunt::platform
+{
+namespace
+{
+
+constexpr const char *settingsText = R"({"node_name":"front-1","zone":"z-a","unknown":{"x":1},
+  "listen":{"front":"10.1.0.19:8740","ready":"10.1.0.19:8749","control":"10.1.0.19:8748"},
+  "seed_addrs":["10.1.0.19:8748","10.2.0.13:8748"],"limits":{"memory_mb":260,"max_fds":4200},
+  "bounds":{"grace_period_s":8,"config_converge_ms":2000,"retry_budget_ratio":0.2,"retry_budget_slack":52,"budget_window_s":10},
+  "platform":{"address":"10.200.1.7:8742"}})";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+TEST(platform_settings_test, ReadsWhatAnEntryNeedsAndIgnoresTheRest)
+{
+    const auto settings = parseSettings(settingsText);
+    EXPECT_EQ(settings.instance, "front-1");
+    EXPECT_EQ(toString(settings.callers), "10.1.0.19:8740");
+    EXPECT_EQ(toString(settings.log), "10.200.1.7:8742");
+    EXPECT_EQ(settings.seeds.size(), 2U);
+    EXPECT_EQ(settings.gracePeriod, std::chrono::seconds(8));
+    EXPECT_EQ(settings.retries.slack, 52);
+    EXPECT_EQ(settings.maxDescriptors, 4200U);
+}
+
+TEST(platform_settings_test, SaysWhichFieldIsMissingOrWrong)
+{
+    const auto messageOf = [](const std::string &text) {
+        try {
+            static_cast<void>(parseSettings(text));
+        } catch (const shunt_error &error) {
+            return std::string(error.what());
+        }
+        return std::string("accepted");
+    };
+    EXPECT_NE(messageOf(replaced(settingsText, "node_name", "name")).find("node_name"), std::string::npos);
+    EXPECT_NE(messageOf(replaced(settingsText, "10.1.0.19:8740", "10.1.0.19")).find("10.1.0.19"), std::string::npos);
+    EXPECT_NE(messageOf(replaced(settingsText, "4200", "\"many\"")).find("number"), std::string::npos);
+    EXPECT_NE(messageOf("{"), "accepted");
+}
+
+TEST(wire_dialect_test, ReadsARequestsFields)
+{
+    const auto facts = makeWireDialect().readRequest({{"X-Attempt-Id", "9c41"},
+                                                      {"authorization", "bearer  key"},
+                                                      {"X-Deadline-Ms", "5000"},
+                                                      {"X-Model", "m"},
+                                                      {"X-Token-Usage", "1460,80"},
+                                                      {"X-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,bad,e4402b7d:250"},
+                                                      {"Last-Event-Id", "12"}});
+    EXPECT_EQ(facts.attemptId, "9c41");
+    EXPECT_EQ(facts.apiKey, "key");
+    EXPECT_EQ(facts.patience, std::chrono::milliseconds(5000));
+    EXPECT_EQ(facts.promptTokens, 1460);
+    EXPECT_EQ(facts.maxOutputTokens, 80);
+    EXPECT_EQ(facts.prompt, (std::vector<prompt_part>{{0x5c1e07a2, 800}, {0x91bd3f06, 410}, {0xe4402b7d, 250}}));
+    EXPECT_EQ(facts.lastEvent, 12);
+}
+
+TEST(wire_dialect_test, TakesBadValuesForAbsentOnes)
+{
+    const auto facts =
+        makeWireDialect().readRequest({{"X-Deadline-Ms", "soon"}, {"X-Token-Usage", "many"}, {"Authorization", "Basic abc"}, {"Last-Event-Id", "1x"}});
+    EXPECT_EQ(facts.patience, std::nullopt);
+    EXPECT_EQ(facts.promptTokens, 0);
+    EXPECT_EQ(facts.apiKey, "");
+    EXPECT_EQ(facts.lastEvent, std::nullopt);
+}
+
+TEST(wire_dialect_test, ForwardsOnlyWhatEndpointsMaySee)
+{
+    std::string out;
+    const header_list sent{{"Host", "h"},
+                           {"X-Attempt-Id", "9c41"},
+                           {"Authorization", "Bearer key"},
+                           {"X-Tenant", "forged"},
+                           {"X-Request-Priority", "0"},
+                           {"X-Hold", "1"},
+                           {"X-Pin-Ms", "1"},
+                           {"X-Kv-Backup", "1"},
+                           {"Kv-From", "1"},
+                           {"kv-fetch", "1"},
+                           {"Last-Event-Id", "3"},
+                           {"X-Deadline-Ms", "9000"},
+                           {"X-Expect-Instance", "i-1"},
+                           {"X-Model", "m"}};
+    makeWireDialect().writeForwarded(
+        out, sent, {.endpointId = "i-2", .workspace = "w", .timeLeft = std::chrono::milliseconds(1500), .priority = 4, .lastEvent = 7});
+    EXPECT_EQ(out,
+              "Host: h\r\nX-Attempt-Id: 9c41\r\nX-Model: m\r\nX-Deadline-Ms: 1500\r\nX-Expect-Instance: i-2\r\nX-Tenant: w\r\n"
+              "X-Request-Priority: 4\r\nLast-Event-Id: 7\r\n");
+}
+
+TEST(wire_dialect_test, TellsWhetherAnEndpointRanTheRequest)
+{
+    const auto dialect = makeWireDialect();
+    EXPECT_TRUE(dialect.readResponse(503, {{"X-Not-Executed", "1"}}).didNotRun);
+    EXPECT_TRUE(dialect.readResponse(421, {}).didNotRun);
+    EXPECT_FALSE(dialect.readResponse(503, {}).didNotRun);
+    EXPECT_FALSE(dialect.readResponse(500, {{"X-Server-Seal", "s"}}).didNotRun);
+    EXPECT_TRUE(dialect.readResponse(200, {{"x-server-seal", "s"}, {"x-attempt-id", "9c41"}}).isSealed);
+}
+
+TEST(record_decoders_test, ReadsDeclarations)
+{
+    const auto declared = makeRecordDecoders().declarations(
+        R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/","kind":"stream","timeout_ms":5000,"target_latency_ms":600,"priority":1,
+            "weighted_backends":[{"service":"a","weight":90},{"service":"b","weight":10}],"max_attempts":2,"public":false,"sticky":true,"resumable":true,
+            "gap_aim_ms":500}],"services":[{"name":"a","max_conns":230,"engine":{"slots":32,"kv_tokens":329630}}],
+            "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+            "tenants":[{"name":"t","api_keys":["k"],"priority":1}]})");
+    EXPECT_EQ(declared.version, 7);
+    ASSERT_EQ(declared.routes.size(), 1U);
+    EXPECT_EQ(declared.routes[0].kind, repeatability::stream);
+    EXPECT_TRUE(declared.routes[0].isResumable);
+    EXPECT_EQ(declared.routes[0].targets, (std::vector<route_target>{{"a", 90}, {"b", 10}}));
+    EXPECT_EQ(declared.services[0].engineSlots, 32);
+    EXPECT_EQ(declared.workspaces[0].tier, 1);
+    EXPECT_EQ(declared.limits.idleTimeout, std::chrono::seconds(15));
+}
+
+TEST(record_decoders_test, RefusesWhatItCannotUse)
+{
+    const auto decoders = makeRecordDecoders();
+    const std::string good =
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":32,"state":"ready","cold_left_ms":0,"born":5,"sequence":4})";
+    EXPECT_EQ(decoders.endpoint("i-1", good).id, "i-1");
+    EXPECT_EQ(decoders.endpoint("i-1", good).bornMilliseconds, 5);
+    EXPECT_THROW(static_cast<void>(decoders.endpoint("i-1", replaced(good, "ready", "sleeping"))), shunt_error);
+    EXPECT_THROW(static_cast<void>(decoders.endpoint("i-1", replaced(good, "\"slots\":32", "\"slots\":\"x\""))), shunt_error);
+    EXPECT_THROW(static_cast<void>(decoders.endpoint("i-1", replaced(good, "10.0.0.9:80", "somewhere"))), shunt_error);
+    EXPECT_THROW(static_cast<void>(decoders.endpoint("i-1", replaced(good, "service", "servize"))), shunt_error);
+    EXPECT_THROW(static_cast<void>(decoders.endpoint("i-1", "\x01\x02")), shunt_error);
+    EXPECT_THROW(static_cast<void>(decoders.endpoint("i-1", "[]")), shunt_error);
+    EXPECT_THROW(static_cast<void>(decoders.declarations(R"({"version":"x"})")), shunt_error);
+    EXPECT_THROW(static_cast<void>(decoders.declarations(R"({"version":1,"routes":[{"name":"r"}]})")), shunt_error);
+}
+
+TEST(log_dialect_test, ReadsRecordsWithAndWithoutAValue)
+{
+    const auto dialect = makeLogDialect();
+    using namespace std::string_literals;
+    const std::string body = "\0\0\0\0\0\0\0\x09"s + "\0\0\0\0\0\0\0\x01"s + "\0\0\0\x04"s + "\x01"s + "avv" + "\0\0\0\x02"s + "\x01"s + "b";
+    const auto page = dialect.readRecords(body, 7);
+    EXPECT_EQ(page.end, 9);
+    EXPECT_EQ(page.records, (std::vector<keyed_record>{{.key = "a", .value = "vv", .offset = 7}, {.key = "b", .offset = 8}}));
+    for (std::size_t length = 0; length < body.size(); ++length) {
+        const bool endsBetweenRecords = length == 16 || length == 24;
+        if (!endsBetweenRecords) {
+            EXPECT_THROW(static_cast<void>(dialect.readRecords(body.substr(0, length), 7)), shunt_error) << "cut after " << length << " bytes";
+        }
+    }
+}
+
+TEST(log_dialect_test, ReadsPagesOfTheNewestRecords)
+{
+    const auto dialect = makeLogDialect();
+    const auto page = dialect.readNewest(R"({"items":[{"key":"config","value":"eyJ4IjoxfQ==","offset":4}],"has_more":true,"end":6})");
+    EXPECT_EQ(page.records, (std::vector<keyed_record>{{.key = "config", .value = R"({"x":1})", .offset = 4}}));
+    EXPECT_TRUE(page.hasMore);
+    EXPECT_EQ(page.end, 6);
+    EXPECT_THROW(static_cast<void>(dialect.readNewest("half of a pa")), shunt_error);
+    EXPECT_THROW(static_cast<void>(dialect.readNewest(R"({"items":[{"key":"config","value":"***","offset":4}],"end":6})")), shunt_error);
+}
+
+} // namespace
+} // namespace wisteriashunt::platform
--- /dev/null
+++ b/test/endpoint_roster_test.cpp
@@ -0,0 +1,118 @@
+// Endpoints by incarnation, their health, and when a dropped entry counts.
+#include "gateway/log_follower.h"
+#include "membership/endpoint_roster.h"
+
+#include <gtest/gtest.h>
+
+namespace wisteriashunt
+{
+namespace
+{
+
+constexpr time_point start{std::chrono::seconds(1000)};
+
+endpoint_record record(const std::string &id, std::int64_t sequence, std::int64_t born = 1, bool isDraining = false)
+{
+    return {.id = id,
+            .service = "s",
+            .address = {.ip = 1, .port = 80},
+            .availabilityZone = "z",
+            .slots = 4,
+            .isDraining = isDraining,
+            .bornMilliseconds = born,
+            .sequence = sequence};
+}
+
+TEST(endpoint_roster_test, KeepsAnIncarnationThroughItsEntries)
+{
+    endpoint_roster roster;
+    EXPECT_TRUE(roster.apply(record("a", 1)));
+    const auto endpoint = roster.find("a");
+    EXPECT_FALSE(roster.apply(record("a", 2))) << "only the sequence has grown";
+    EXPECT_TRUE(roster.apply(record("a", 3, 1, true)));
+    EXPECT_EQ(roster.find("a"), endpoint);
+    EXPECT_TRUE(endpoint->record.isDraining);
+}
+
+TEST(endpoint_roster_test, IgnoresAnEntryThatArrivesAfterANewerOne)
+{
+    endpoint_roster roster;
+    roster.apply(record("a", 5, 1, true));
+    EXPECT_FALSE(roster.apply(record("a", 4)));
+    EXPECT_TRUE(roster.find("a")->record.isDraining);
+    roster.remove("a");
+    EXPECT_FALSE(roster.apply(record("a", 5))) << "an entry of the incarnation that is gone";
+    EXPECT_EQ(roster.find("a"), nullptr);
+}
+
+TEST(endpoint_roster_test, StartsAnewIncarnationWithACleanRecord)
+{
+    endpoint_roster roster;
+    roster.apply(record("a", 9, 1));
+    const auto before = roster.find("a");
+    before->health.report(endpoint_outcome::unreachable, start, {});
+    EXPECT_TRUE(roster.apply(record("a", 1, 2)));
+    const auto after = roster.find("a");
+    EXPECT_NE(before, after);
+    EXPECT_TRUE(before->isGone);
+    EXPECT_FALSE(after->health.isSuspended(start));
+    EXPECT_EQ(roster.ofService("s").size(), 1U);
+}
+
+TEST(endpoint_roster_test, TellsOfEndpointsThatLeave)
+{
+    endpoint_roster roster;
+    std::vector<std::string> left;
+    roster.onLeft = [&](const endpoint_pointer &endpoint) { left.push_back(endpoint->record.id + (endpoint->isGone ? " gone" : " draining")); };
+    roster.apply(record("a", 1));
+    roster.apply(record("a", 2, 1, true));
+    roster.remove("a");
+    EXPECT_FALSE(roster.remove("a"));
+    EXPECT_EQ(left, (std::vector<std::string>{"a draining", "a gone"}));
+}
+
+TEST(endpoint_health_test, SuspendsAnUnreachableEndpointForLongerEachTime)
+{
+    endpoint_health health;
+    const health_options options{.firstSuspension = std::chrono::seconds(1), .longestSuspension = std::chrono::seconds(3)};
+    EXPECT_TRUE(health.report(endpoint_outcome::unreachable, start, options));
+    EXPECT_FALSE(health.report(endpoint_outcome::unreachable, start, options)) << "requests that fail together count once";
+    auto now = start + std::chrono::seconds(1);
+    EXPECT_FALSE(health.isSuspended(now));
+    EXPECT_TRUE(health.report(endpoint_outcome::unreachable, now, options));
+    EXPECT_TRUE(health.isSuspended(now + std::chrono::milliseconds(1900)));
+    now += std::chrono::seconds(2);
+    EXPECT_TRUE(health.report(endpoint_outcome::unreachable, now, options));
+    EXPECT_FALSE(health.isSuspended(now + std::chrono::seconds(3))) << "bounded by the longest suspension";
+    health.report(endpoint_outcome::answered, now, options);
+    EXPECT_FALSE(health.isSuspended(now));
+}
+
+TEST(endpoint_health_test, CountsFailuresButNotRejections)
+{
+    endpoint_health health;
+    for (int i = 0; i < 20; ++i) {
+        health.report(endpoint_outcome::rejected, start, {});
+    }
+    EXPECT_EQ(health.failureShare(), 0);
+    for (int i = 0; i < 20; ++i) {
+        health.report(endpoint_outcome::failed, start, {});
+    }
+    EXPECT_TRUE(health.isFailing({}));
+    for (int i = 0; i < 20; ++i) {
+        health.report(endpoint_outcome::answered, start, {});
+    }
+    EXPECT_FALSE(health.isFailing({}));
+}
+
+TEST(removal_hold_test, LeavesTimeToActOnARemovalThatFollowsAnOutage)
+{
+    constexpr std::chrono::milliseconds bound{2000};
+    constexpr std::chrono::milliseconds readPeriod{800};
+    EXPECT_EQ(removalHold(record_timing::steady), duration{});
+    EXPECT_LT(removalHold(record_timing::soon_after_outage) + readPeriod, bound);
+    EXPECT_GE(removalHold(record_timing::first_after_outage), std::chrono::seconds(2)) << "living endpoints are back within two seconds";
+}
+
+} // namespace
+} // namespace wisteriashunt
--- /dev/null
+++ b/test/message_reader_test.cpp
@@ -0,0 +1,153 @@
+// Requests and responses as they are read from the wire.
+#include "http/message_reader.h"
+
+#include <gtest/gtest.h>
+
+namespace wisteriashunt
+{
+namespace
+{
+
+std::string withHead(const std::string &fields, const std::string &body = "")
+{
+    return "POST /a/b?c=d HTTP/1.1\r\nHost: x\r\n" + fields + "\r\n" + body;
+}
+
+read_fault faultOf(const std::string &bytes, const request_bounds &bounds = {})
+{
+    request_reader reader(bounds);
+    reader.feed(bytes);
+    return reader.fault();
+}
+
+TEST(request_reader_test, KeepsTargetFieldsAndBodyAsSent)
+{
+    request_reader reader({});
+    reader.feed(withHead("X-One:  two \r\nContent-Length: 3\r\n", "abc"));
+    ASSERT_TRUE(reader.isComplete());
+    const auto request = reader.next();
+    EXPECT_EQ(request.method, "POST");
+    EXPECT_EQ(request.target, "/a/b?c=d");
+    EXPECT_EQ(request.body, "abc");
+    ASSERT_NE(findHeader(request.headers, "x-one"), nullptr);
+    EXPECT_EQ(trim(*findHeader(request.headers, "x-one")), "two");
+}
+
+TEST(request_reader_test, ReadsAByteAtATime)
+{
+    request_reader reader({});
+    for (const char c : withHead("Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")) {
+        ASSERT_EQ(reader.feed(std::string_view(&c, 1)), 1U);
+    }
+    ASSERT_TRUE(reader.isComplete());
+    EXPECT_EQ(reader.next().body, "abcde");
+}
+
+TEST(request_reader_test, LeavesAPipelinedRequestForLater)
+{
+    request_reader reader({});
+    const std::string first = withHead("Content-Length: 3\r\n", "abc");
+    const std::string second = "GET /second HTTP/1.1\r\nHost: x\r\n\r\n";
+    EXPECT_EQ(reader.feed(first + second), first.size());
+    EXPECT_EQ(reader.next().target, "/a/b?c=d");
+    EXPECT_EQ(reader.feed(second), second.size());
+    EXPECT_EQ(reader.next().target, "/second");
+}
+
+TEST(request_reader_test, RefusesRequestsWhoseEndIsAmbiguous)
+{
+    EXPECT_EQ(faultOf(withHead("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n")), read_fault::malformed);
+    EXPECT_EQ(faultOf(withHead("Content-Length: 3\r\nContent-Length: 4\r\n", "abcd")), read_fault::malformed);
+    EXPECT_EQ(faultOf(withHead("Content-Length: 3\r\nContent-Length: 3\r\n", "abc")), read_fault::malformed);
+    EXPECT_EQ(faultOf(withHead("Transfer-Encoding: gzip, chunked\r\n", "0\r\n\r\n")), read_fault::malformed);
+    EXPECT_EQ(faultOf(withHead("Transfer-Encoding: xchunked\r\n", "0\r\n\r\n")), read_fault::malformed);
+    EXPECT_EQ(faultOf(withHead("Transfer-Encoding : chunked\r\n", "0\r\n\r\n")), read_fault::malformed);
+    EXPECT_EQ(faultOf(withHead("Content-Length: +3\r\n", "abc")), read_fault::malformed);
+    EXPECT_EQ(faultOf(withHead("X: a\r\n Content-Length: 3\r\n", "")), read_fault::none) << "a folded line is part of the value before it";
+    EXPECT_EQ(faultOf("GET /a b HTTP/1.1\r\nHost: x\r\n\r\n"), read_fault::malformed);
+    EXPECT_EQ(faultOf(withHead("Host: y\r\n")), read_fault::malformed);
+}
+
+TEST(request_reader_test, BoundsHeadAndBody)
+{
+    const request_bounds bounds{.headBytes = 64, .bodyBytes = 4};
+    EXPECT_EQ(faultOf(withHead("X-Long: " + std::string(100, 'a') + "\r\n"), bounds), read_fault::head_too_large);
+    EXPECT_EQ(faultOf(withHead("Content-Length: 5\r\n"), bounds), read_fault::body_too_large);
+    EXPECT_EQ(faultOf(withHead("Transfer-Encoding: chunked\r\n", "5\r\nabcde\r\n"), bounds), read_fault::body_too_large);
+}
+
+TEST(request_reader_test, AsksForTheBodyOnlyOnce)
+{
+    request_reader reader({});
+    reader.feed(withHead("Expect: 100-continue\r\nContent-Length: 2\r\n"));
+    EXPECT_TRUE(reader.wantsContinue());
+    reader.setContinueSent();
+    EXPECT_FALSE(reader.wantsContinue());
+    reader.feed("ab");
+    EXPECT_EQ(reader.next().body, "ab");
+}
+
+/// What a response reader reports, as one line.
+class response_reader_test : public ::testing::Test
+{
+protected:
+    std::string m_seen;
+    response_reader m_reader{{.onHead = [this](http_response_head &head) { m_seen += "head " + std::to_string(head.status) + ";"; },
+                              .onBody = [this](std::string_view bytes) { m_seen += "body " + std::string(bytes) + ";"; },
+                              .onComplete = [this] { m_seen += "complete;"; }}};
+};
+
+TEST_F(response_reader_test, SkipsInterimResponses)
+{
+    m_reader.feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi");
+    EXPECT_EQ(m_seen, "head 200;body hi;complete;");
+}
+
+TEST_F(response_reader_test, StopsAtTheEndOfAResponse)
+{
+    const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+    EXPECT_EQ(m_reader.feed(whole + "HTTP/1.1 200 OK\r\n"), whole.size());
+    EXPECT_EQ(m_seen, "head 200;body hi;complete;");
+}
+
+TEST_F(response_reader_test, TakesTheEndOfTheConnectionForTheEndOnlyWithoutALength)
+{
+    m_reader.feed("HTTP/1.1 200 OK\r\n\r\nab");
+    m_reader.feedEnd();
+    EXPECT_EQ(m_seen, "head 200;body ab;complete;");
+    m_seen.clear();
+    m_reader.reset();
+    m_reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab");
+    m_reader.feedEnd();
+    EXPECT_EQ(m_seen, "head 200;body ab;");
+    m_seen.clear();
+    m_reader.reset();
+    m_reader.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n");
+    m_reader.feedEnd();
+    EXPECT_EQ(m_seen, "head 200;body ab;");
+}
+
+TEST_F(response_reader_test, ReportsBytesThatAreNoResponse)
+{
+    m_reader.feed("garbage\r\n\r\n");
+    EXPECT_TRUE(m_reader.isMalformed());
+    EXPECT_EQ(m_seen, "");
+}
+
+TEST(message_test, DropsFieldsThatConcernOneConnection)
+{
+    const header_list kept =
+        endToEndHeaders({{"Connection", "keep-alive, X-Hop"}, {"X-Hop", "1"}, {"Keep-Alive", "timeout=5"}, {"X-Kept", "2"}, {"TE", "trailers"}});
+    EXPECT_EQ(kept, (header_list{{"X-Kept", "2"}}));
+}
+
+TEST(message_test, SkipsAnEmptyChunkBecauseItWouldEndTheBody)
+{
+    std::string out;
+    appendChunk(out, "");
+    appendChunk(out, "abcdefghijklmnopq");
+    EXPECT_EQ(out, "11\r\nabcdefghijklmnopq\r\n");
+}
+
+} // namespace
+} // namespace wisteriashunt
--- /dev/null
+++ b/test/placement_test.cpp
@@ -0,0 +1,216 @@
+// Placement of short and long prompts, alone and under the loads that it answers.
+#include "dispatch/placement.h"
+#include "gateway/event_splitter.h"
+#include "gateway/peer_exchange.h"
+#include "wisteriashunt/errors.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace wisteriashunt
+{
+namespace
+{
+
+constexpr time_point start{std::chrono::seconds(1000)};
+constexpr int engines = 10;
+constexpr int slots = 32;
+
+class placement_test : public ::testing::Test
+{
+protected:
+    placement_test()
+    {
+        for (int i = 0; i < engines; ++i) {
+            m_roster.apply(
+                {.id = "e" + std::to_string(i), .service = "model", .address = {.ip = 1, .port = 80}, .availabilityZone = "z", .slots = slots, .sequence = 1});
+        }
+        for (int i = 0; i < 3; ++i) {
+            m_roster.apply({.id = "p" + std::to_string(i),
+                            .service = "plain",
+                            .address = {.ip = 2, .port = 80},
+                            .availabilityZone = i == 0 ? "z" : "y",
+                            .slots = 6,
+                            .sequence = 1});
+        }
+    }
+
+    static placement_request shortPrompt()
+    {
+        return {.service = "model", .prompt = {{1, 119}, {2, 79}, {3, 630}}, .promptTokens = 828, .hasPrompt = true, .usefulWait = std::chrono::seconds(5)};
+    }
+
+    static placement_request longPrompt(std::uint64_t session)
+    {
+        return {.service = "model",
+                .prompt = {{10, 2520}, {1000 + session, 3780}, {5000 + session, 2890}},
+                .promptTokens = 9190,
+                .hasPrompt = true,
+                .usefulWait = std::chrono::milliseconds(2500)};
+    }
+
+    placement send(const placement_request &request)
+    {
+        const auto decision = m_planner.place(request, start);
+        EXPECT_EQ(decision.refusal, placement_refusal::none);
+        m_planner.onSent(request, decision.chosen, start);
+        return decision.chosen;
+    }
+
+    endpoint_roster m_roster;
+    placement_planner m_planner{m_roster, "z", {}};
+};
+
+TEST_F(placement_test, SpreadsRequestsOfPlainServicesAndPrefersTheOwnZone)
+{
+    const placement_request request{.service = "plain"};
+    EXPECT_EQ(send(request).endpoint->record.id, "p0");
+    std::set<std::string> next{send(request).endpoint->record.id, send(request).endpoint->record.id};
+    EXPECT_EQ(next, (std::set<std::string>{"p1", "p2"}));
+}
+
+TEST_F(placement_test, LeavesOutDrainingTriedAndSuspendedEndpoints)
+{
+    m_roster.apply({.id = "p0", .service = "plain", .address = {.ip = 2, .port = 80}, .availabilityZone = "z", .slots = 6, .isDraining = true, .sequence = 2});
+    EXPECT_NE(send({.service = "plain"}).endpoint->record.id, "p0");
+    EXPECT_EQ(send({.service = "plain", .excluded = {"p1"}}).endpoint->record.id, "p2");
+    m_roster.find("p1")->health.report(endpoint_outcome::unreachable, start, {});
+    EXPECT_EQ(send({.service = "plain"}).endpoint->record.id, "p2");
+    EXPECT_EQ(m_planner.place({.service = "nothing"}, start).refusal, placement_refusal::no_endpoint);
+}
+
+TEST_F(placement_test, FallsBackToDoubtfulEndpointsWhenMostAreDoubtful)
+{
+    for (const auto *id : {"p0", "p1", "p2"}) {
+        m_roster.find(id)->health.report(endpoint_outcome::unreachable, start, {});
+    }
+    EXPECT_EQ(m_planner.place({.service = "plain"}, start).refusal, placement_refusal::none);
+}
+
+TEST_F(placement_test, KeepsLongPromptsOffTheEnginesOfShortOnes)
+{
+    std::set<std::string> shortOnes;
+    for (int i = 0; i < 20; ++i) {
+        const auto placed = send(shortPrompt());
+        m_planner.onFirstByte(placed, std::chrono::milliseconds(45), start);
+        shortOnes.insert(placed.endpoint->record.id);
+    }
+    for (std::uint64_t session = 0; session < 40; ++session) {
+        EXPECT_FALSE(shortOnes.contains(send(longPrompt(session)).endpoint->record.id)) << "session " << session;
+    }
+}
+
+TEST_F(placement_test, GrowsTheGroupOfShortPromptsWithTheirDemand)
+{
+    const auto before = m_planner.lightGroupSize("model", start);
+    for (int i = 0; i < 4 * slots; ++i) {
+        send(shortPrompt());
+    }
+    EXPECT_GT(m_planner.lightGroupSize("model", start), before);
+    EXPECT_LT(m_planner.lightGroupSize("model", start), std::size_t{engines});
+}
+
+TEST_F(placement_test, SendsAPromptWhereItsSharedPartsAreKept)
+{
+    const auto first = send(longPrompt(7));
+    EXPECT_EQ(first.uncachedTokens, 9190);
+    m_planner.onFirstByte(first, std::chrono::milliseconds(230), start);
+    m_planner.onFinished(first, true);
+    const auto second = send(longPrompt(7));
+    EXPECT_EQ(second.endpoint, first.endpoint);
+    EXPECT_EQ(second.uncachedTokens, 2890);
+}
+
+TEST_F(placement_test, FollowsPartsThatAnotherEntryPlaced)
+{
+    int followed = 0;
+    for (int i = 0; i < engines; ++i) {
+        const std::string id = "e" + std::to_string(i);
+        placement_planner planner(m_roster, "z", {});
+        planner.onPeerDigest("peer", {.placements = {{10, id}, {1007, id}}}, start);
+        const auto chosen = planner.place(longPrompt(7), start).chosen;
+        EXPECT_EQ(chosen.endpoint->record.id == id, chosen.uncachedTokens == 2890);
+        followed += chosen.endpoint->record.id == id ? 1 : 0;
+    }
+    EXPECT_EQ(followed, engines - static_cast<int>(m_planner.lightGroupSize("model", start))) << "all but the engines of short prompts";
+}
+
+TEST_F(placement_test, RefusesLongPromptsBeyondWhatEnginesCanReadAndStillStream)
+{
+    int sent = 0;
+    while (m_planner.place(longPrompt(static_cast<std::uint64_t>(sent)), start).refusal == placement_refusal::none) {
+        send(longPrompt(static_cast<std::uint64_t>(sent)));
+        ASSERT_LT(++sent, 1000);
+    }
+    EXPECT_LE(sent, placement_options{}.heavyPerEndpoint * engines);
+    EXPECT_GE(sent, engines);
+    EXPECT_GT(m_planner.place(longPrompt(1), start).retryAfter, duration{});
+    EXPECT_EQ(m_planner.place(shortPrompt(), start).refusal, placement_refusal::none) << "short prompts are not refused for long ones";
+}
+
+TEST_F(placement_test, CountsTheLoadOfOtherEntriesWhileItIsFresh)
+{
+    m_planner.onPeerDigest("peer", {.endpoints = {{"p0", {.waiting = 3, .light = 5}}}}, start);
+    EXPECT_EQ(m_planner.loadOf("p0", start).light, 5);
+    EXPECT_EQ(m_planner.liveEntries(start), 2U);
+    const auto later = start + placement_options{}.digestLifetime;
+    EXPECT_EQ(m_planner.loadOf("p0", later).light, 0);
+    EXPECT_EQ(m_planner.liveEntries(later), 1U);
+}
+
+TEST_F(placement_test, ForgetsThatAnEndpointWasSlow)
+{
+    const auto slow = send(longPrompt(1));
+    m_planner.onFirstByte(slow, std::chrono::seconds(10), start);
+    m_planner.onFinished(slow, true);
+    const auto soon = m_planner.place(longPrompt(1), start).chosen;
+    const auto later = m_planner.place(longPrompt(1), start + std::chrono::seconds(10)).chosen;
+    EXPECT_EQ(later.endpoint, slow.endpoint);
+    EXPECT_LT(later.predictedFirstByte, soon.endpoint == slow.endpoint ? soon.predictedFirstByte : duration::max());
+}
+
+TEST_F(placement_test, ReturnsToNoLoadWhenEverythingHasEnded)
+{
+    for (int i = 0; i < 10; ++i) {
+        const auto placed = send(i % 2 == 0 ? shortPrompt() : longPrompt(static_cast<std::uint64_t>(i)));
+        m_planner.onFinished(placed, false);
+    }
+    EXPECT_TRUE(m_planner.digest(start).endpoints.empty());
+}
+
+TEST(peer_message_test, SurvivesEncoding)
+{
+    const peer_message message{.declarationsVersion = 12,
+                               .isLeaving = true,
+                               .load = {.endpoints = {{"e1", {.waiting = 1, .waitingTokens = 900, .light = 2, .heavy = 3}}},
+                                        .lightTokensPerSecond = {{"s", 12.5}},
+                                        .placements = {{77, "e1"}}},
+                               .peers = {{.ip = 5, .port = 6}}};
+    EXPECT_EQ(decodePeerMessage(encodePeerMessage(message)), message);
+}
+
+TEST(peer_message_test, RefusesOtherBytes)
+{
+    const auto bytes = encodePeerMessage({});
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        EXPECT_THROW(static_cast<void>(decodePeerMessage(bytes.substr(0, length))), shunt_error) << "cut after " << length << " bytes";
+    }
+    EXPECT_THROW(static_cast<void>(decodePeerMessage("\x01")), shunt_error);
+}
+
+TEST(event_splitter_test, HandsOutWholeEventsAndKnowsTheLastNumber)
+{
+    event_splitter splitter;
+    EXPECT_EQ(splitter.feed("id: 1\ndata: a\n"), "");
+    EXPECT_EQ(splitter.feed("\nid: 2\ndata: id: 9\n\nid: 3\nda"), "id: 1\ndata: a\n\nid: 2\ndata: id: 9\n\n");
+    EXPECT_EQ(splitter.lastEvent(), 2);
+    EXPECT_TRUE(splitter.hasPartial());
+    splitter.dropPartial();
+    EXPECT_FALSE(splitter.hasPartial());
+    EXPECT_EQ(splitter.feed("id: 3\ndata: c\n\n"), "id: 3\ndata: c\n\n");
+    EXPECT_EQ(splitter.lastEvent(), 3);
+}
+
+} // namespace
+} // namespace wisteriashunt
