Call an entry ready only after it has asked the claim log

Cause: an entry called itself ready with configuration and endpoints alone.

Shown: a new test holds the claim stream while an entry starts; before the change the entry was ready and the operation got 503.

Change: ready after the first answer or the first failure of the claim log.

--- a/bench/standins/platform.cpp
+++ b/bench/standins/platform.cpp
@@ -32,6 +32,7 @@
 constexpr int notFound = 404;
 constexpr int unavailable = 503;
 constexpr std::size_t largestPage = 1000;
+const absl::Duration longestHold = absl::Seconds(60);
 
 struct log_stream
 {
@@ -72,6 +73,7 @@
         }
         const absl::MutexLock lock(&m_mutex);
         m_isDown = wanted.value("down", m_isDown);
+        m_heldStream = wanted.value("holdStream", m_heldStream);
         m_isListDown = wanted.value("listDown", m_isListDown);
         m_loseAnswers = wanted.value("loseAnswers", m_loseAnswers);
         if (wanted.contains("retain")) {
@@ -122,6 +124,8 @@
             return {.status = badRequest, .body = "{}"};
         }
         const absl::MutexLock lock(&m_mutex);
+        const auto isReleased = [&]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) { return m_heldStream != name; };
+        m_mutex.AwaitWithTimeout(absl::Condition(&isReleased), longestHold);
         const auto hasRecord = [&]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
             const auto &stream = m_streams[name];
             return m_isDown || stream.first + stream.records.size() > from;
@@ -180,6 +184,8 @@
     json m_listed ABSL_GUARDED_BY(m_mutex) = json::array();
     absl::Time m_listedAt ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
     bool m_isDown ABSL_GUARDED_BY(m_mutex) = false;
+    /// Reads of this stream get no answer while it is named here.
+    std::string m_heldStream ABSL_GUARDED_BY(m_mutex);
     bool m_isListDown ABSL_GUARDED_BY(m_mutex) = false;
     int m_loseAnswers ABSL_GUARDED_BY(m_mutex) = 0;
 };
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -38,7 +38,7 @@
                                  [this] {
                                      return nlohmann::json{{"openRequests", m_openRequests.load()}, {"usableEndpoints", m_usableEndpoints.load()}};
                                  },
-                             .isReady = [this] { return configuration()->offset > 0 && m_usableEndpoints > 0; }};
+                             .isReady = [this] { return configuration()->offset > 0 && m_usableEndpoints > 0 && m_hasAskedClaims; }};
     m_base = std::make_unique<daemon_base>(settings, hooks, clock);
     entry_core_options core{.instanceName = settings.instance,
                             .incarnation = m_base->incarnation(),
@@ -110,7 +110,12 @@
                                          m_nextClaim = page.firstRetained;
                                      }
                                  },
-                             .onAvailability = [this](bool available) { m_events.push(claims_available{available}); }};
+                             .onAvailability =
+                                 [this](bool available) {
+                                     m_events.push(claims_available{available});
+                                     // Set after the event, so that every request that sees a ready entry is behind it.
+                                     m_hasAskedClaims = true;
+                                 }};
     m_claimFollower = std::make_unique<stream_follower>(options, std::make_unique<http_log_service>(m_settings.logUrl));
 }
 
--- a/src/daemon/entry_daemon.h
+++ b/src/daemon/entry_daemon.h
@@ -51,6 +51,8 @@
     std::atomic<bool> m_isCoreStopping{false};
     std::atomic<std::size_t> m_openRequests{0};
     std::atomic<std::size_t> m_usableEndpoints{0};
+    /// The claim log has answered or failed at least once.
+    std::atomic<bool> m_hasAskedClaims{false};
     std::set<peer_id> m_peers;
     time_point m_nextHeartbeat{};
     time_point m_nextTick{};
--- a/src/daemon/stream_follower.cpp
+++ b/src/daemon/stream_follower.cpp
@@ -2,6 +2,8 @@
 
 #include "wisteriashunt/errors.h"
 
+#include <optional>
+
 namespace wisteriashunt
 {
 
@@ -20,19 +22,20 @@
 
 void stream_follower::run()
 {
-    bool isAvailable = false;
+    // Unknown until the log has answered or failed once.
+    std::optional<bool> isAvailable;
     while (!m_isStopping) {
         const log_offset from = m_options.nextOffset();
         try {
             const log_page page = m_log->read(m_options.stream, from, m_options.readWait);
             m_options.onPage(page);
             const bool hasReachedEnd = page.records.empty() || page.records.back().offset + 1 >= page.next;
-            if (!isAvailable && hasReachedEnd) {
+            if (isAvailable != true && hasReachedEnd) {
                 isAvailable = true;
                 m_options.onAvailability(true);
             }
         } catch (const shunt_error &) {
-            if (isAvailable) {
+            if (isAvailable != false) {
                 isAvailable = false;
                 m_options.onAvailability(false);
             }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -69,7 +69,7 @@
                   {.topic = m_options.decoders.endpointsTopic, .log = m_options.settings.log, .period = endpointsPeriod},
                   {.onRecord = [this](const keyed_record &record, record_timing timing) { onEndpointRecord(record, timing); }})
     , m_callerHooks(std::make_shared<caller_hooks>(
-          caller_hooks{.onRequest = [this](const auto &caller, http_request &&request) { onRequest(caller, std::move(request)); },
+          caller_hooks{.onRequest = [this](const auto &caller, received_request &&request) { onRequest(caller, std::move(request)); },
                        .onGone = [this](caller_connection &caller) { onGone(caller); },
                        .onEnd =
                            [this](caller_connection &caller) {
@@ -79,17 +79,17 @@
                                }
                            },
                        .onFault = [this](const auto &caller, read_fault fault) { onFault(caller, fault); }}))
-    , m_readinessHooks(
-          std::make_shared<caller_hooks>(caller_hooks{.onRequest = [this](const auto &caller, http_request &&request) { onReadinessRequest(caller, request); },
-                                                      .onGone = [](caller_connection &) {},
-                                                      .onEnd =
-                                                          [this](caller_connection &caller) {
-                                                              const auto held = m_readinessCallers.extract(&caller);
-                                                              if (!held.empty()) {
-                                                                  m_loop.retire(held.mapped());
-                                                              }
-                                                          },
-                                                      .onFault = [this](const auto &caller, read_fault fault) { onFault(caller, fault); }}))
+    , m_readinessHooks(std::make_shared<caller_hooks>(
+          caller_hooks{.onRequest = [this](const auto &caller, received_request &&request) { onReadinessRequest(caller, request); },
+                       .onGone = [](caller_connection &) {},
+                       .onEnd =
+                           [this](caller_connection &caller) {
+                               const auto held = m_readinessCallers.extract(&caller);
+                               if (!held.empty()) {
+                                   m_loop.retire(held.mapped());
+                               }
+                           },
+                       .onFault = [this](const auto &caller, read_fault fault) { onFault(caller, fault); }}))
 {
     m_roster.onLeft = [this](const endpoint_pointer &endpoint) {
         m_log.write(endpoint->isGone ? event_number::endpoint_gone : event_number::endpoint_draining, {{"endpoint", endpoint->record.id}});
@@ -161,7 +161,7 @@
     }
 }
 
-void gateway::onRequest(const std::shared_ptr<caller_connection> &caller, http_request &&request)
+void gateway::onRequest(const std::shared_ptr<caller_connection> &caller, received_request &&request)
 {
     if (m_leavingSince) {
         caller->closeWhenIdle();
@@ -184,7 +184,7 @@
     }
 }
 
-void gateway::onReadinessRequest(const std::shared_ptr<caller_connection> &caller, const http_request &request)
+void gateway::onReadinessRequest(const std::shared_ptr<caller_connection> &caller, const received_request &request)
 {
     constexpr int ok = 200;
     constexpr int unavailable = 503;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -55,9 +55,9 @@
 
 private:
     void onCaller(int descriptor);
-    void onRequest(const std::shared_ptr<caller_connection> &caller, http_request &&request);
+    void onRequest(const std::shared_ptr<caller_connection> &caller, received_request &&request);
     void onGone(caller_connection &caller);
-    void onReadinessRequest(const std::shared_ptr<caller_connection> &caller, const http_request &request);
+    void onReadinessRequest(const std::shared_ptr<caller_connection> &caller, const received_request &request);
     void onFault(const std::shared_ptr<caller_connection> &caller, read_fault fault);
     void onDeclarations(const keyed_record &record);
     void onEndpointRecord(const keyed_record &record, record_timing timing);
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -24,9 +24,7 @@
 /// Priorities that engines know: 0 is the first, 9 the last.
 constexpr int lowestPriority = 9;
 
-constexpr int misdirectedStatus = 421;
 constexpr int firstServerError = 500;
-constexpr int gatewayTimeoutStatus = 504;
 
 bool isSuccess(int status)
 {
@@ -48,7 +46,7 @@
 
 } // namespace
 
-request_session::request_session(gateway_context &context, std::shared_ptr<caller_connection> caller, http_request request)
+request_session::request_session(gateway_context &context, std::shared_ptr<caller_connection> caller, received_request request)
     : m_context(context)
     , m_caller(std::move(caller))
     , m_request(std::move(request))
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -20,7 +20,7 @@
 class request_session : public std::enable_shared_from_this<request_session>
 {
 public:
-    request_session(gateway_context &context, std::shared_ptr<caller_connection> caller, http_request request);
+    request_session(gateway_context &context, std::shared_ptr<caller_connection> caller, received_request request);
     ~request_session();
     request_session(const request_session &) = delete;
     request_session &operator=(const request_session &) = delete;
@@ -60,7 +60,7 @@
 
     gateway_context &m_context;
     std::shared_ptr<caller_connection> m_caller;
-    http_request m_request;
+    received_request m_request;
     request_facts m_facts;
     std::shared_ptr<const route_table> m_table;
     const route *m_route = nullptr;
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -16,7 +16,7 @@
 struct caller_hooks
 {
     /// A complete request. The receiver answers through the connection, now or later.
-    std::function<void(const std::shared_ptr<caller_connection> &, http_request &&)> onRequest;
+    std::function<void(const std::shared_ptr<caller_connection> &, received_request &&)> onRequest;
     /// The caller left while a request was unanswered.
     std::function<void(caller_connection &)> onGone;
     /// The connection has ended; it is not used again.
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -34,8 +34,8 @@
 /// Drops the fields that concern one connection only, those that the Connection field names among them.
 [[nodiscard]] header_list endToEndHeaders(const header_list &headers);
 
-/// A request, complete with its body.
-struct http_request
+/// A request as received, complete with its body.
+struct received_request
 {
     std::string method;
     std::string target;
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -226,9 +226,9 @@
     m_wantsContinue = false;
 }
 
-http_request request_reader::next()
+received_request request_reader::next()
 {
-    http_request request = std::move(m_request);
+    received_request request = std::move(m_request);
     reset();
     return request;
 }
--- a/src/http/message_reader.h
+++ b/src/http/message_reader.h
@@ -44,7 +44,7 @@
     void setContinueSent();
 
     /// Hands out the complete request and gets ready for the next one.
-    [[nodiscard]] http_request next();
+    [[nodiscard]] received_request next();
 
     void setBounds(const request_bounds &bounds);
 
@@ -63,7 +63,7 @@
 
     http_parser m_parser{};
     request_bounds m_bounds;
-    http_request m_request;
+    received_request m_request;
     std::size_t m_headBytes = 0;
     read_fault m_fault = read_fault::none;
     bool m_lastWasValue = true;
--- a/test/process_test.cpp
+++ b/test/process_test.cpp
@@ -211,6 +211,22 @@
     waitUntil("the new process is used", [] { return textOf(chat(entryAPort, "t", 5).body) == expectedChat("t", 5); });
 }
 
+TEST_F(process_test, AnEntryIsNotReadyBeforeItHasAskedTheClaimLog)
+{
+    endProcess("entry-a", SIGKILL);
+    control(platformPort, R"({"holdStream":"claims"})");
+    launchDaemon("entry-a");
+    const auto status = [] { return nlohmann::json::parse(fetch(adminBasePort + 3, "/status"), nullptr, false); };
+    waitUntil("everything but the claims is known", [&] {
+        const auto page = status();
+        return page.is_object() && page.value("usableEndpoints", 0) == 3;
+    });
+    EXPECT_FALSE(status().value("ready", true)) << "the claim log has not answered";
+    control(platformPort, R"({"holdStream":""})");
+    waitUntilReady("entry-a", 3);
+    EXPECT_EQ(book(entryAPort, "first", "key-of-first").status, 200);
+}
+
 TEST_F(process_test, AChangeIsInForceEverywhere)
 {
     http_log_service log("http://127.0.0.1:" + std::to_string(platformPort));
