--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -17,9 +17,6 @@
 /// Pause between two looks at idle connections and at what is due.
 constexpr std::chrono::milliseconds tickPeriod{100};
 
-/// How long after SIGTERM new connections are still taken: the balancer asks every second and needs two misses.
-constexpr std::chrono::milliseconds acceptWhileLeaving{2400};
-
 /// Time kept before the end of the grace period to close what is left.
 constexpr std::chrono::milliseconds leaveMargin{400};
 
@@ -308,7 +305,7 @@
 void gateway::continueLeaving()
 {
     const auto since = m_loop.now() - *m_leavingSince;
-    if (since > acceptWhileLeaving) {
+    if (since > m_options.settings.acceptWhileLeaving) {
         m_context.isClosing = true;
         m_callerListener->close();
         std::vector<std::shared_ptr<caller_connection>> idle;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -25,6 +25,8 @@
     socket_address log;
     /// Time between SIGTERM and SIGKILL.
     duration gracePeriod = std::chrono::seconds(8);
+    /// How long after SIGTERM requests are still taken: the balancer asks every second and needs two misses.
+    duration acceptWhileLeaving = std::chrono::milliseconds(2400);
     /// Time within which a declaration must be in force and a leaving endpoint must get no more work.
     duration convergence = std::chrono::seconds(2);
     retry_allowance_options retries;
--- /dev/null
+++ b/test/gateway_test.cpp
@@ -0,0 +1,367 @@
+// The whole path of an entry on real sockets: callers, endpoints and the platform's log, each as a test writes them.
+#include "gateway/gateway.h"
+#include "loopback_server.h"
+#include "platform/adapter.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <absl/strings/escaping.h>
+
+#include <thread>
+
+namespace wisteriashunt::testing
+{
+namespace
+{
+
+using nlohmann::json;
+
+std::string withLength(const std::string &head, const std::string &body)
+{
+    return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string attemptOf(const received_request &request)
+{
+    const auto *id = findHeader(request.headers, "x-attempt-id");
+    return id == nullptr ? "" : *id;
+}
+
+std::string okHead(const received_request &request)
+{
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attemptOf(request) + "\r\nX-Server-Seal: seal-1\r\n";
+}
+
+scripted_answer ok(const received_request &request, const std::string &body)
+{
+    return {.parts = {withLength(okHead(request), body)}};
+}
+
+std::string chunk(const std::string &data)
+{
+    std::string out;
+    appendChunk(out, data);
+    return out;
+}
+
+std::string event(int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: piece\n\n";
+}
+
+/// One entry between a stand-in of the log and up to two endpoints.
+class gateway_test : public ::testing::Test
+{
+protected:
+    void TearDown() override
+    {
+        m_isStopRequested = true;
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
+    /// Starts the endpoints and the entry; waits until the entry says that it is ready.
+    void start(const loopback_server::handler &first, const loopback_server::handler &second = nullptr)
+    {
+        m_endpoints.push_back(std::make_unique<loopback_server>(first));
+        if (second) {
+            m_endpoints.push_back(std::make_unique<loopback_server>(second));
+        }
+        m_callerPort = freePort();
+        m_readinessPort = freePort();
+        const std::string local = "127.0.0.1:";
+        m_settings =
+            json{{"node_name", "entry-1"},
+                 {"zone", "z"},
+                 {"listen", {{"front", local + std::to_string(m_callerPort)}, {"ready", local + std::to_string(m_readinessPort)}}},
+                 {"limits", {{"memory_mb", 260}, {"max_fds", 4200}}},
+                 {"bounds",
+                  {{"grace_period_s", 8}, {"config_converge_ms", 2000}, {"retry_budget_ratio", 0.2}, {"retry_budget_slack", 52}, {"budget_window_s", 10}}},
+                 {"platform", {{"address", local + std::to_string(m_log.port())}}}}
+                .dump();
+        m_thread = std::thread([this] {
+            const boot_clock clock;
+            auto settings = platform::parseSettings(m_settings);
+            settings.acceptWhileLeaving = {};
+            gateway entry({.settings = settings,
+                           .dialect = platform::makeWireDialect(),
+                           .logDialect = platform::makeLogDialect(),
+                           .decoders = platform::makeRecordDecoders(),
+                           .isStopRequested = [this] { return m_isStopRequested.load(); },
+                           .takeReloadRequest = [] { return false; },
+                           .reloadSettings = [this] { return platform::parseSettings(m_settings); }},
+                          clock);
+            entry.run();
+        });
+        while (readiness() != 200) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+    }
+
+    int readiness() const
+    {
+        try {
+            raw_caller caller(m_readinessPort);
+            caller.send("GET /wisteriashunt/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+            const auto reply = caller.readAll();
+            return reply.size() < 12 ? 0 : std::stoi(reply.substr(9, 3));
+        } catch (const std::runtime_error &) {
+            return 0;
+        }
+    }
+
+    static std::string request(const std::string &path, const std::string &fields = "", const std::string &body = "", const std::string &key = "key-1")
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\nX-Deadline-Ms: 5000\r\nAuthorization: Bearer " + key + "\r\n" + fields
+            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    /// The whole answer to one request on a connection of its own.
+    std::string callOnce(std::string bytes) const
+    {
+        const std::string host = "Host: h.example\r\n";
+        bytes.insert(bytes.find(host) + host.size(), "Connection: close\r\n");
+        raw_caller caller(m_callerPort);
+        caller.send(bytes);
+        return caller.readAll();
+    }
+
+    std::vector<std::unique_ptr<loopback_server>> m_endpoints;
+    std::uint16_t m_callerPort = 0;
+
+private:
+    scripted_answer serveLog(const received_request &request)
+    {
+        if (request.target.find("log-read") != std::string::npos) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+            return {.parts = {withLength("HTTP/1.1 200 OK\r\n", std::string(16, '\0'))}};
+        }
+        json items = json::array();
+        const auto add = [&items](const std::string &key, const json &value) {
+            items.push_back({{"key", key}, {"value", absl::Base64Escape(value.dump())}, {"offset", items.size()}});
+        };
+        if (request.target.find("keyed.op") != std::string::npos) {
+            add("config", declarations());
+        } else {
+            for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+                add("e" + std::to_string(i),
+                    {{"service", "s"},
+                     {"address", "127.0.0.1:" + std::to_string(m_endpoints[i]->port())},
+                     {"zone", i == 0 ? "z" : "y"},
+                     {"slots", 4},
+                     {"state", "ready"},
+                     {"born", 1},
+                     {"sequence", 1}});
+            }
+            items.push_back({{"key", "broken"}, {"value", absl::Base64Escape("{\"service\":5}")}, {"offset", items.size()}});
+        }
+        return {.parts = {withLength("HTTP/1.1 200 OK\r\n", json{{"items", items}, {"has_more", false}, {"end", 0}}.dump())}};
+    }
+
+    static json declarations()
+    {
+        const auto route = [](const std::string &prefix, const std::string &kind, int attempts, bool resumable, int timeout) {
+            return json{{"name", kind},
+                        {"host", "h.example"},
+                        {"path_prefix", prefix},
+                        {"kind", kind},
+                        {"service", "s"},
+                        {"max_attempts", attempts},
+                        {"resumable", resumable},
+                        {"timeout_ms", timeout},
+                        {"target_latency_ms", 300},
+                        {"priority", 0},
+                        {"public", false}};
+        };
+        return {{"version", 1},
+                {"routes",
+                 {route("/read/", "safe", 2, false, 3000),
+                  route("/book/", "unsafe", 2, false, 3000),
+                  route("/short/", "unsafe", 2, false, 300),
+                  route("/talk/", "stream", 1, false, 5000),
+                  route("/draft/", "stream", 2, true, 5000)}},
+                {"services", {{{"name", "s"}, {"max_conns", 50}}}},
+                {"tenants", {{{"name", "north"}, {"api_keys", {"key-1"}}, {"priority", 1}}}},
+                {"limits", {{"max_header_bytes", 4096}, {"max_body_bytes", 100000}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}}};
+    }
+
+    loopback_server m_log{[this](const received_request &request) { return serveLog(request); }};
+    std::uint16_t m_readinessPort = 0;
+    std::string m_settings;
+    std::atomic<bool> m_isStopRequested{false};
+    std::thread m_thread;
+};
+
+TEST_F(gateway_test, PassesRequestAndAnswerOnUnchanged)
+{
+    start([](const received_request &got) { return ok(got, "the body"); });
+    const auto reply = callOnce(request("/book/1?q=%20x", "X-Other: kept\r\nX-Tenant: forged\r\n", "payload"));
+    EXPECT_NE(reply.find("HTTP/1.1 200 OK\r\n"), std::string::npos) << reply;
+    EXPECT_NE(reply.find("X-Server-Seal: seal-1\r\n"), std::string::npos) << reply;
+    EXPECT_TRUE(reply.ends_with("the body")) << reply;
+    const auto got = m_endpoints[0]->requests().at(0);
+    EXPECT_EQ(got.target, "/book/1?q=%20x");
+    EXPECT_EQ(got.body, "payload");
+    EXPECT_EQ(*findHeader(got.headers, "x-other"), "kept");
+    EXPECT_EQ(*findHeader(got.headers, "x-tenant"), "north");
+    EXPECT_EQ(*findHeader(got.headers, "x-expect-instance"), "e0");
+    EXPECT_EQ(findHeader(got.headers, "authorization"), nullptr);
+}
+
+TEST_F(gateway_test, AnswersUnknownRoutesAndKeysItself)
+{
+    start([](const received_request &got) { return ok(got, ""); });
+    EXPECT_NE(callOnce(request("/nowhere/")).find("HTTP/1.1 404"), std::string::npos);
+    EXPECT_NE(callOnce(request("/book/", "", "", "wrong")).find("HTTP/1.1 401"), std::string::npos);
+    EXPECT_NE(callOnce("POST /book/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n").find("HTTP/1.1 400"),
+              std::string::npos);
+    EXPECT_NE(callOnce(request("/book/", "", std::string(100001, 'x'))).find("HTTP/1.1 413"), std::string::npos);
+    EXPECT_TRUE(m_endpoints[0]->requests().empty());
+}
+
+TEST_F(gateway_test, SendsAFailedReadToAnotherEndpoint)
+{
+    const auto fail = [](const received_request &got) {
+        return scripted_answer{.parts = {withLength("HTTP/1.1 500 Failed\r\nX-Attempt-Id: " + attemptOf(got) + "\r\nX-Server-Seal: bad\r\n", "")}};
+    };
+    start(fail, [](const received_request &got) { return ok(got, "second"); });
+    EXPECT_TRUE(callOnce(request("/read/1")).ends_with("second"));
+}
+
+TEST_F(gateway_test, ReportsAnUnknownOutcomeWhenAnOperationsAnswerIsLost)
+{
+    const auto reset = [](const received_request &) { return scripted_answer{.resets = true}; };
+    start(reset, reset);
+    const auto reply = callOnce(request("/book/1"));
+    EXPECT_NE(reply.find("HTTP/1.1 502"), std::string::npos) << reply;
+    EXPECT_EQ(m_endpoints[0]->requests().size() + m_endpoints[1]->requests().size(), 1U) << "an operation is sent once";
+}
+
+TEST_F(gateway_test, MovesAnOperationThatAnEndpointDidNotRun)
+{
+    const auto reject = [](const received_request &) { return scripted_answer{.parts = {withLength("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n", "")}}; };
+    start(reject, [](const received_request &got) { return ok(got, "ran"); });
+    EXPECT_TRUE(callOnce(request("/book/1")).ends_with("ran"));
+}
+
+TEST_F(gateway_test, RefusesTruthfullyWhenNoEndpointRanTheRequest)
+{
+    const auto reject = [](const received_request &) { return scripted_answer{.parts = {withLength("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n", "")}}; };
+    start(reject, reject);
+    const auto reply = callOnce(request("/book/1"));
+    EXPECT_NE(reply.find("HTTP/1.1 429"), std::string::npos) << reply;
+    EXPECT_NE(reply.find("Retry-After: "), std::string::npos) << reply;
+}
+
+TEST_F(gateway_test, NeverPassesOnAPromiseOfAnEndpointThatRanTheRequest)
+{
+    start([](const received_request &got) {
+        return scripted_answer{.parts = {withLength("HTTP/1.1 503 Busy\r\nX-Attempt-Id: " + attemptOf(got) + "\r\nX-Server-Seal: s\r\n", "")}};
+    });
+    const auto reply = callOnce(request("/book/1"));
+    EXPECT_NE(reply.find("HTTP/1.1 502"), std::string::npos) << reply;
+    EXPECT_EQ(reply.find("X-Server-Seal"), std::string::npos) << reply;
+}
+
+TEST_F(gateway_test, SkipsALateAnswerOfAnotherRequest)
+{
+    start([](const received_request &got) {
+        const std::string late = withLength("HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Seal: s\r\n", "not yours");
+        return scripted_answer{.parts = {late + withLength(okHead(got), "yours")}};
+    });
+    const auto reply = callOnce(request("/book/1"));
+    EXPECT_TRUE(reply.ends_with("yours")) << reply;
+    EXPECT_EQ(reply.find("not yours"), std::string::npos) << reply;
+}
+
+TEST_F(gateway_test, DropsBytesThatFollowAnAnswer)
+{
+    int answered = 0;
+    start([&answered](const received_request &got) {
+        return scripted_answer{
+            .parts = {withLength(okHead(got), "answer " + std::to_string(++answered)) + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"}};
+    });
+    EXPECT_TRUE(callOnce(request("/book/1")).ends_with("answer 1"));
+    EXPECT_TRUE(callOnce(request("/book/1")).ends_with("answer 2"));
+}
+
+TEST_F(gateway_test, TakesNoTruncatedAnswerForAWholeOne)
+{
+    start([](const received_request &got) { return scripted_answer{.parts = {okHead(got) + "Content-Length: 10\r\n\r\nhalf"}, .closes = true}; });
+    EXPECT_NE(callOnce(request("/book/1")).find("HTTP/1.1 502"), std::string::npos);
+}
+
+TEST_F(gateway_test, ForwardsEventsAsTheyCome)
+{
+    start([](const received_request &got) {
+        return scripted_answer{.parts = {okHead(got) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(event(1)), chunk(event(2)) + "0\r\n\r\n"},
+                               .pause = std::chrono::milliseconds(50)};
+    });
+    const auto reply = callOnce(request("/talk/1"));
+    EXPECT_NE(reply.find(chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n"), std::string::npos) << reply;
+}
+
+TEST_F(gateway_test, ResumesABrokenStreamAfterItsLastWholeEvent)
+{
+    const auto serve = [](const received_request &got) {
+        const auto *after = findHeader(got.headers, "last-event-id");
+        const std::string head = okHead(got) + "Transfer-Encoding: chunked\r\n\r\n";
+        if (after == nullptr) {
+            return scripted_answer{.parts = {head + chunk(event(1)) + chunk(event(2)) + chunk("id: 3\nda")}, .closes = true};
+        }
+        return scripted_answer{.parts = {head + chunk(event(std::stoi(*after) + 1)) + "0\r\n\r\n"}};
+    };
+    start(serve, serve);
+    const auto reply = callOnce(request("/draft/1"));
+    for (int number = 1; number <= 3; ++number) {
+        EXPECT_NE(reply.find(event(number)), std::string::npos) << "event " << number << " of " << reply;
+    }
+    EXPECT_EQ(reply.find("id: 3"), reply.rfind("id: 3")) << "the third event comes once: " << reply;
+    EXPECT_TRUE(reply.ends_with("0\r\n\r\n")) << reply;
+}
+
+TEST_F(gateway_test, CutsAStreamThatMayNotBeResumed)
+{
+    start([](const received_request &got) {
+        return scripted_answer{.parts = {okHead(got) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(event(1))}, .closes = true};
+    });
+    const auto reply = callOnce(request("/talk/1"));
+    EXPECT_NE(reply.find(event(1)), std::string::npos) << reply;
+    EXPECT_FALSE(reply.ends_with("0\r\n\r\n")) << reply;
+    EXPECT_EQ(m_endpoints[0]->requests().size(), 1U);
+}
+
+TEST_F(gateway_test, EndsTheEndpointsWorkWhenTheCallerLeaves)
+{
+    start([](const received_request &) { return scripted_answer{.isSilent = true}; });
+    raw_caller caller(m_callerPort);
+    caller.send(request("/talk/1"));
+    while (m_endpoints[0]->requests().empty()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    caller.close();
+    while (m_endpoints[0]->abandoned() == 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    EXPECT_EQ(m_endpoints[0]->abandoned(), 1);
+}
+
+TEST_F(gateway_test, AnswersAtTheRoutesTimeLimit)
+{
+    start([](const received_request &) { return scripted_answer{.isSilent = true}; });
+    EXPECT_NE(callOnce(request("/short/1")).find("HTTP/1.1 504"), std::string::npos);
+}
+
+TEST_F(gateway_test, AnswersPipelinedRequestsInOrder)
+{
+    start([](const received_request &got) { return ok(got, got.target); });
+    raw_caller caller(m_callerPort);
+    caller.send(request("/book/1") + request("/book/2"));
+    const auto replies = caller.readUntil("/book/2");
+    EXPECT_LT(replies.find("/book/1"), replies.find("/book/2")) << replies;
+}
+
+} // namespace
+} // namespace wisteriashunt::testing
--- /dev/null
+++ b/test/loopback_server.cpp
@@ -0,0 +1,226 @@
+#include "loopback_server.h"
+
+#include "http/message_reader.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace wisteriashunt::testing
+{
+
+namespace
+{
+
+sockaddr_in loopback(std::uint16_t port)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    return address;
+}
+
+std::uint16_t portOf(int descriptor)
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
+int listenOnLoopback()
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const auto address = loopback(0);
+    constexpr int backlog = 64;
+    if (bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0 || listen(descriptor, backlog) != 0) {
+        throw std::runtime_error("cannot listen on loopback");
+    }
+    return descriptor;
+}
+
+} // namespace
+
+loopback_server::loopback_server(handler handle)
+    : m_handle(std::move(handle))
+    , m_listener(listenOnLoopback())
+    , m_port(portOf(m_listener))
+    , m_acceptor([this] { acceptAll(); })
+{
+}
+
+loopback_server::~loopback_server()
+{
+    m_isStopping = true;
+    shutdown(m_listener, SHUT_RDWR);
+    m_acceptor.join();
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const int descriptor : m_descriptors) {
+            shutdown(descriptor, SHUT_RDWR);
+        }
+    }
+    for (auto &thread : m_threads) {
+        thread.join();
+    }
+    for (const int descriptor : m_descriptors) {
+        ::close(descriptor);
+    }
+    ::close(m_listener);
+}
+
+std::uint16_t loopback_server::port() const
+{
+    return m_port;
+}
+
+std::vector<received_request> loopback_server::requests() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_requests;
+}
+
+int loopback_server::abandoned() const
+{
+    return m_abandoned;
+}
+
+void loopback_server::acceptAll()
+{
+    while (!m_isStopping) {
+        const int descriptor = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+        if (descriptor < 0) {
+            return;
+        }
+        const std::lock_guard lock(m_mutex);
+        m_descriptors.push_back(descriptor);
+        m_threads.emplace_back([this, descriptor] { serve(descriptor); });
+    }
+}
+
+void loopback_server::serve(int descriptor)
+{
+    request_reader reader({});
+    std::array<char, 65536> buffer{};
+    std::string waiting;
+    while (!m_isStopping) {
+        const ssize_t count = recv(descriptor, buffer.data(), buffer.size(), 0);
+        if (count <= 0) {
+            shutdown(descriptor, SHUT_RDWR);
+            return;
+        }
+        waiting.append(buffer.data(), static_cast<std::size_t>(count));
+        waiting.erase(0, reader.feed(waiting));
+        while (reader.isComplete()) {
+            const auto request = reader.next();
+            {
+                const std::lock_guard lock(m_mutex);
+                m_requests.push_back(request);
+            }
+            if (!writeAnswer(descriptor, m_handle(request))) {
+                return;
+            }
+            waiting.erase(0, reader.feed(waiting));
+        }
+    }
+}
+
+bool loopback_server::writeAnswer(int descriptor, const scripted_answer &answer)
+{
+    const auto hasLeft = [descriptor] {
+        char byte = 0;
+        return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    };
+    while (answer.isSilent && !m_isStopping) {
+        pollfd watched{.fd = descriptor, .events = POLLIN, .revents = 0};
+        poll(&watched, 1, 10);
+        if (hasLeft()) {
+            ++m_abandoned;
+            return false;
+        }
+    }
+    for (std::size_t i = 0; i < answer.parts.size(); ++i) {
+        if (i > 0) {
+            std::this_thread::sleep_for(answer.pause);
+        }
+        const auto &part = answer.parts[i];
+        if (hasLeft() || ::send(descriptor, part.data(), part.size(), MSG_NOSIGNAL) < 0) {
+            ++m_abandoned;
+            return false;
+        }
+    }
+    if (answer.resets) {
+        const linger hard{.l_onoff = 1, .l_linger = 0};
+        setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+        // Closing is left to the destructor; a connect to an unspecified address resets at once.
+        const sockaddr_in none{.sin_family = AF_UNSPEC};
+        ::connect(descriptor, reinterpret_cast<const sockaddr *>(&none), sizeof none);
+        return false;
+    }
+    if (answer.closes) {
+        shutdown(descriptor, SHUT_RDWR);
+        return false;
+    }
+    return true;
+}
+
+raw_caller::raw_caller(std::uint16_t port)
+    : m_descriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+    const auto address = loopback(port);
+    if (::connect(m_descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0) {
+        ::close(m_descriptor);
+        throw std::runtime_error("cannot connect to port " + std::to_string(port));
+    }
+}
+
+raw_caller::~raw_caller()
+{
+    close();
+}
+
+void raw_caller::send(const std::string &bytes) const
+{
+    ::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
+std::string raw_caller::readUntil(const std::string &text)
+{
+    std::array<char, 65536> buffer{};
+    while (text.empty() || m_read.find(text) == std::string::npos) {
+        const ssize_t count = recv(m_descriptor, buffer.data(), buffer.size(), 0);
+        if (count <= 0) {
+            break;
+        }
+        m_read.append(buffer.data(), static_cast<std::size_t>(count));
+    }
+    return m_read;
+}
+
+std::string raw_caller::readAll()
+{
+    return readUntil("");
+}
+
+void raw_caller::close()
+{
+    if (m_descriptor >= 0) {
+        ::close(m_descriptor);
+        m_descriptor = -1;
+    }
+}
+
+std::uint16_t freePort()
+{
+    const int descriptor = listenOnLoopback();
+    const auto port = portOf(descriptor);
+    ::close(descriptor);
+    return port;
+}
+
+} // namespace wisteriashunt::testing
