Count prompt tokens to be read beyond the wait of the request itself

Cause: a long prompt left the engine that keeps its parts as soon as another would begin 140 ms sooner, and read 6,300 shared tokens again there; under load that work delays every prompt behind it.

Change: tokens to be read count three times against waiting (once in the wait, twice on top).

Shared parts read again remain the largest price; next: why they move.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -272,8 +272,10 @@
         const double slots = std::max(1, each.endpoint->record.slots);
         // A long prompt stops every stream of the engine while it is read in.
         constexpr double stoppedStreamMilliseconds = 60;
+        // Reading shared parts again takes the engine's time from every prompt behind; so it counts beyond the wait of this one.
+        constexpr double readingPrice = 2;
         constexpr double overfullMilliseconds = 3000;
-        const double cost = wait + (isFull(each) ? fullMilliseconds : 0) + tieBreak(each) + stoppedStreamMilliseconds * each.load.light
+        const double cost = wait + readingPrice * millisecondsToRead(each.endpoint->record.id, uncached, now) + (isFull(each) ? fullMilliseconds : 0) + tieBreak(each) + stoppedStreamMilliseconds * each.load.light
             + overfullMilliseconds * std::max(0.0, each.load.total() / slots - 1) + failurePenalty * 100 * each.endpoint->health.failureShare();
         if (best == nullptr || cost < bestCost) {
             best = &each;
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -180,7 +180,7 @@
                          {"endpoint", placed.endpoint->record.id},
                          {"rank", std::to_string(m_rank)},
                          {"prompt", std::to_string(m_facts.promptTokens)},
-                         {"parts", std::to_string(m_facts.prompt.size())},
+                         {"part", m_facts.prompt.size() < 2 ? "-" : std::to_string(m_facts.prompt[m_facts.prompt.size() - 2].id)},
                          {"unread", std::to_string(placed.uncachedTokens)},
                          {"heavy", placed.isHeavy ? "yes" : "no"},
                          {"light_there", std::to_string(load.light)},
