Let long prompts wait in line by rank, and bound them by tokens

And whoever came when room was made got it, whatever its rank.

Change: the bound is 50,000 tokens of long prompts under way at an engine (30,000, 45,000 and 60,000 were tried); a long prompt that finds no room waits in line for a quarter of its target, the most urgent first, and is then refused (a half and an eighth were tried).

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -84,6 +84,7 @@
         sum.waitingTokens += load.waitingTokens;
         sum.light += load.light;
         sum.heavy += load.heavy;
+        sum.heavyTokens += load.heavyTokens;
     };
     if (const auto own = m_own.find(endpointId); own != m_own.end()) {
         add(own->second);
@@ -150,7 +151,12 @@
     if (!request.hasPrompt) {
         return placeByLoad(usable);
     }
-    return request.promptTokens >= m_options.heavyPromptTokens ? placeHeavy(request, std::move(usable), now) : placeLight(request, std::move(usable), now);
+    return isHeavy(request) ? placeHeavy(request, std::move(usable), now) : placeLight(request, std::move(usable), now);
+}
+
+bool placement_planner::isHeavy(const placement_request &request) const
+{
+    return request.promptTokens >= m_options.heavyPromptTokens;
 }
 
 placement_decision placement_planner::placeByLoad(const std::vector<candidate> &usable) const
@@ -263,7 +269,7 @@
     double bestCost = 0;
     std::int64_t bestUncached = 0;
     double bestWait = 0;
-    const auto isFull = [this](const candidate &each) { return each.load.heavy >= m_options.heavyPerEndpoint; };
+    const auto isFull = [this](const candidate &each) { return each.load.heavy > 0 && each.load.heavyTokens >= m_options.heavyTokensPerEndpoint; };
     constexpr double fullMilliseconds = 3000;
     for (std::size_t i = group; i < usable.size(); ++i) {
         const auto &each = usable[i];
@@ -275,8 +281,9 @@
         // Reading shared parts again takes the engine's time from every prompt behind; so it counts beyond the wait of this one.
         constexpr double readingPrice = 2;
         constexpr double overfullMilliseconds = 3000;
-        const double cost = wait + readingPrice * millisecondsToRead(each.endpoint->record.id, uncached, now) + (isFull(each) ? fullMilliseconds : 0) + tieBreak(each) + stoppedStreamMilliseconds * each.load.light
-            + overfullMilliseconds * std::max(0.0, each.load.total() / slots - 1) + failurePenalty * 100 * each.endpoint->health.failureShare();
+        const double cost = wait + readingPrice * millisecondsToRead(each.endpoint->record.id, uncached, now) + (isFull(each) ? fullMilliseconds : 0)
+            + tieBreak(each) + stoppedStreamMilliseconds * each.load.light + overfullMilliseconds * std::max(0.0, each.load.total() / slots - 1)
+            + failurePenalty * 100 * each.endpoint->health.failureShare();
         if (best == nullptr || cost < bestCost) {
             best = &each;
             bestCost = cost;
@@ -286,7 +293,7 @@
     }
     const auto predicted = fromMilliseconds(m_options.baseMilliseconds + bestWait);
     if (isFull(*best) || predicted > request.usefulWait) {
-        return {.refusal = placement_refusal::overloaded, .retryAfter = std::max<duration>(predicted, std::chrono::seconds(1))};
+        return {.refusal = placement_refusal::overloaded, .retryAfter = std::max(predicted, m_options.overloadRetry)};
     }
     return {.chosen = {.endpoint = best->endpoint, .uncachedTokens = bestUncached, .isHeavy = true, .predictedFirstByte = predicted}};
 }
@@ -298,6 +305,7 @@
     ++load.waiting;
     load.waitingTokens += placed.uncachedTokens;
     ++(placed.isHeavy ? load.heavy : load.light);
+    load.heavyTokens += placed.isHeavy ? placed.uncachedTokens : 0;
     if (!request.hasPrompt) {
         return;
     }
@@ -347,6 +355,7 @@
         load.waitingTokens -= placed.uncachedTokens;
     }
     --(placed.isHeavy ? load.heavy : load.light);
+    load.heavyTokens -= placed.isHeavy ? placed.uncachedTokens : 0;
 }
 
 load_digest placement_planner::digest(time_point now)
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -31,6 +31,8 @@
     int light = 0;
     /// Long-prompt requests, waiting or running.
     int heavy = 0;
+    /// Prompt tokens that these had to read in, or still have to.
+    std::int64_t heavyTokens = 0;
 
     [[nodiscard]] int total() const
     {
@@ -71,15 +73,17 @@
     double tokensPerMillisecond = 45;
     /// Time to a first event beside reading the prompt.
     double baseMilliseconds = 30;
-    /// Long-prompt requests under way at one engine. Reading prompts one after the other leaves no steps for the streams that have begun:
-    /// with more of them than this, more end late or not at all than are gained.
-    int heavyPerEndpoint = 8;
+    /// Prompt tokens of all long prompts under way at one engine, a second of reading. Reading one after the other leaves no steps for the
+    /// streams that have begun: with more than this, more end late or not at all than are gained.
+    std::int64_t heavyTokensPerEndpoint = 50000;
     /// Share of the slots that short-prompt requests fill before they take another engine.
     double lightFill = 0.8;
     /// Share of an engine's time that may go into reading short prompts before they take another engine.
     double lightPrefillShare = 0.55;
     /// Time for which the group of short-prompt engines keeps its size after the demand has fallen.
     duration groupHold = std::chrono::seconds(3);
+    /// When to come back at the earliest after a refusal for load.
+    duration overloadRetry = std::chrono::milliseconds(1200);
     /// Time for which an engine is expected to keep a shared part; engines of today's sites keep them longer.
     duration partLifetime = std::chrono::seconds(20);
 };
@@ -134,6 +138,9 @@
 
     [[nodiscard]] placement_decision place(const placement_request &request, time_point now);
 
+    /// Whether the request's prompt counts as long.
+    [[nodiscard]] bool isHeavy(const placement_request &request) const;
+
     /// The request was sent. Each onSent is followed by one onFinished, and by onFirstByte before it if an answer began.
     void onSent(const placement_request &request, const placement &placed, time_point now);
     void onFirstByte(const placement &placed, duration sinceSent, time_point now);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -111,7 +111,10 @@
             m_log,
             peer_exchange_options{.seeds = m_options.settings.seeds, .self = *m_options.settings.control},
             [this] { return describe(); },
-            [this](const socket_address &from, const peer_message &message) { m_planner.onPeerDigest(toString(from), message.load, m_loop.now()); });
+            [this](const socket_address &from, const peer_message &message) {
+                m_planner.onPeerDigest(toString(from), message.load, m_loop.now());
+                m_context.noteRoom();
+            });
     }
     m_declarations.start();
     m_endpoints.start();
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -3,6 +3,7 @@
 
 #include "dispatch/placement.h"
 #include "dispatch/retry_allowance.h"
+#include "dispatch/waiting_line.h"
 #include "gateway/endpoint_pool.h"
 #include "gateway/event_log.h"
 #include "gateway/wire_dialect.h"
@@ -30,11 +31,27 @@
     /// The declarations in force; nullptr before any are known.
     std::shared_ptr<const route_table> table;
     std::unordered_map<std::string, retry_allowance> allowances;
+    waiting_line line;
+    bool isLineScheduled = false;
+    timer_id lineTimer = 0;
     /// Sessions that are not finished.
     std::size_t openSessions = 0;
     /// New requests are refused: too little of the grace period is left to serve them.
     bool isClosing = false;
 
+    /// Work has ended somewhere: requests in line are tried at the end of this wake-up.
+    void noteRoom()
+    {
+        if (isLineScheduled || line.size() == 0) {
+            return;
+        }
+        isLineScheduled = true;
+        lineTimer = loop.schedule(loop.now(), [this] {
+            isLineScheduled = false;
+            line.onRoomAnywhere();
+        });
+    }
+
     [[nodiscard]] retry_allowance &allowanceOf(const std::string &service)
     {
         return allowances.try_emplace(service, retryOptions).first->second;
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -127,14 +127,72 @@
     return timeLeft() / shareOfTimeLeft;
 }
 
-void request_session::dispatch()
+placement_decision request_session::place()
 {
     m_placementRequest.usefulWait = usefulWait();
-    const auto decision = m_context.planner.place(m_placementRequest, m_context.loop.now());
+    return m_context.planner.place(m_placementRequest, m_context.loop.now());
+}
+
+void request_session::dispatch()
+{
+    const bool isBehindOthers = m_placementRequest.hasPrompt && m_context.planner.isHeavy(m_placementRequest) && m_context.line.hasWaiting(m_service, m_rank);
+    const auto decision = isBehindOthers ? placement_decision{.refusal = placement_refusal::overloaded, .retryAfter = shortRetry} : place();
     if (decision.refusal == placement_refusal::none) {
         send(decision.chosen);
+    } else if (decision.refusal != placement_refusal::overloaded || !waitInLine()) {
+        refuseUnplaced(decision);
+    }
+}
+
+bool request_session::waitInLine()
+{
+    // Most of the target is left for the engine to read the prompt and make the first event.
+    const time_point until = m_arrival + m_route->firstByteTarget / 4;
+    if (m_hasForwarded || m_context.loop.now() >= until) {
+        return false;
+    }
+    m_ticket = m_context.line.join(m_service, m_rank, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self == nullptr || self->m_isFinished) {
+            return true;
+        }
+        const auto decision = self->place();
+        if (decision.refusal == placement_refusal::overloaded) {
+            return false;
+        }
+        self->leaveLine();
+        if (decision.refusal == placement_refusal::none) {
+            self->send(decision.chosen);
+        } else {
+            self->refuseUnplaced(decision);
+        }
+        return true;
+    });
+    m_lineTimer = m_context.loop.schedule(until, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self != nullptr && self->m_ticket) {
+            self->leaveLine();
+            self->refuseUnplaced({.refusal = placement_refusal::overloaded, .retryAfter = placement_options{}.overloadRetry});
+        }
+    });
+    // The line holds the request weakly; the caller's connection and the timers do not keep it alive either.
+    m_whileInLine = shared_from_this();
+    return true;
+}
+
+void request_session::leaveLine()
+{
+    if (!m_ticket) {
         return;
     }
+    m_context.line.leave(m_service, *m_ticket);
+    m_context.loop.cancel(m_lineTimer);
+    m_ticket.reset();
+    m_context.loop.retire(std::exchange(m_whileInLine, nullptr));
+}
+
+void request_session::refuseUnplaced(const placement_decision &decision)
+{
     if (m_hasForwarded) {
         cut("no_endpoint");
     } else if (m_mayHaveRun) {
@@ -270,6 +328,7 @@
     }
     const auto endpoint = m_placed->endpoint;
     m_context.planner.onFinished(*m_placed, m_hasFirstByte);
+    m_context.noteRoom();
     if (endpoint->health.report(outcome, m_context.loop.now(), {})) {
         m_context.log.write(event_number::endpoint_suspended, {{"endpoint", endpoint->record.id}, {"request", m_facts.attemptId}});
         m_context.pool.forget(endpoint);
@@ -428,6 +487,7 @@
         return;
     }
     m_isFinished = true;
+    leaveLine();
     m_context.loop.cancel(m_timer);
     m_context.log.write(event,
                         {{"request", m_facts.attemptId},
@@ -451,6 +511,7 @@
     m_exchange->close();
     m_exchange.reset();
     m_context.planner.onFinished(*m_placed, m_hasFirstByte);
+    m_context.noteRoom();
     m_placed.reset();
 }
 
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -34,6 +34,12 @@
     /// Routes and authenticates. Returns the error that refuses the request, if any.
     [[nodiscard]] std::optional<error_kind> admit();
     void dispatch();
+    /// Places the request if there is room. Returns why not otherwise.
+    [[nodiscard]] placement_decision place();
+    /// Waits in line for room as long as the answer can still begin on time. Returns false if it may not wait.
+    [[nodiscard]] bool waitInLine();
+    void leaveLine();
+    void refuseUnplaced(const placement_decision &decision);
     void send(const placement &placed);
     [[nodiscard]] std::string buildRequest(const listed_endpoint &endpoint) const;
 
@@ -73,6 +79,9 @@
     timer_id m_timer = 0;
 
     placement_request m_placementRequest;
+    std::optional<waiting_line::ticket> m_ticket;
+    timer_id m_lineTimer = 0;
+    std::shared_ptr<request_session> m_whileInLine;
     std::optional<placement> m_placed;
     std::shared_ptr<upstream_connection> m_exchange;
     time_point m_sentAt;
