Serve metrics by class: outcomes, first bytes, pauses, and the age of what is known

The summaries of the daemon (Boost.Accumulators) move to src/evidence and serve both daemons; the entry counts outcomes and repeats by class, first-byte and pause quantiles, and gauges for the line, connections, and the age of declarations and of the endpoint list.

--- a/src/daemon/daemon_base.h
+++ b/src/daemon/daemon_base.h
@@ -3,8 +3,8 @@
 
 #include "daemon/configuration_keeper.h"
 #include "daemon/decision_recorder.h"
-#include "daemon/metrics.h"
 #include "daemon/settings.h"
+#include "evidence/metrics.h"
 #include "transport/http_server.h"
 #include "wisteriashunt/platform.h"
 
--- a/src/daemon/decision_recorder.h
+++ b/src/daemon/decision_recorder.h
@@ -1,8 +1,8 @@
 /// Thread that logs decisions, counts them and appends them as evidence, off the path of the requests.
 #pragma once
 
-#include "daemon/metrics.h"
 #include "evidence/evidence_chain.h"
+#include "evidence/metrics.h"
 #include "transport/bounded_ring.h"
 #include "wisteriashunt/platform.h"
 
--- a/src/daemon/metrics.h
+++ b/src/evidence/metrics.h
@@ -24,6 +24,12 @@
 public:
     void observe(const decision &value);
 
+    /// Counts an event of a class of requests.
+    void count(event_number event, const std::string &className);
+
+    /// Adds a time to the summary of that name, for example "first_byte_seconds".
+    void observeSeconds(const std::string &summaryName, const std::string &className, double seconds);
+
     /// Adds a gauge that is read when the page is rendered.
     void addGauge(const std::string &name, std::function<double()> read);
 
@@ -36,7 +42,8 @@
 
     mutable absl::Mutex m_mutex;
     std::map<std::pair<std::string, std::string>, std::uint64_t> m_events ABSL_GUARDED_BY(m_mutex);
-    std::map<std::string, summary> m_waits ABSL_GUARDED_BY(m_mutex);
+    /// By name and class.
+    std::map<std::pair<std::string, std::string>, summary> m_summaries ABSL_GUARDED_BY(m_mutex);
     std::map<std::string, std::function<double()>> m_gauges ABSL_GUARDED_BY(m_mutex);
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -27,6 +27,9 @@
 /// The log holds a call for new declarations this long.
 constexpr std::chrono::milliseconds declarationsWait{1500};
 
+/// Where metrics are served, in the text format that collectors read.
+constexpr std::string_view metricsPath = "/metrics";
+
 caller_options callerOptions(const caller_limits &limits)
 {
     return {
@@ -54,6 +57,7 @@
                 .roster = m_roster,
                 .planner = m_planner,
                 .pool = m_pool,
+                .counters = m_counters,
                 .retryOptions = m_options.settings.retries}
     , m_declarations(m_loop,
                      m_log,
@@ -100,11 +104,8 @@
 {
     m_log.write(event_number::process_started,
                 {{"instance", m_options.settings.instance}, {"zone", m_options.settings.availabilityZone}, {"callers", toString(m_options.settings.callers)}});
-    m_callerListener = std::make_unique<channel_listener>(m_loop, m_options.settings.callers, [this](int descriptor) { onCaller(descriptor); });
-    m_readinessListener = std::make_unique<channel_listener>(m_loop, m_options.settings.readiness, [this](int descriptor) {
-        const auto caller = caller_connection::adopt(m_loop, descriptor, {}, m_readinessHooks);
-        m_readinessCallers.emplace(caller.get(), caller);
-    });
+    addGauges();
+    listen();
     if (m_options.settings.control) {
         m_peers = std::make_unique<peer_exchange>(
             m_loop,
@@ -123,6 +124,38 @@
     m_log.write(event_number::process_stopped, {{"open", std::to_string(m_context.openSessions)}});
 }
 
+void gateway::listen()
+{
+    const auto acceptProbe = [this](int descriptor) {
+        const auto caller = caller_connection::adopt(m_loop, descriptor, {}, m_readinessHooks);
+        m_readinessCallers.emplace(caller.get(), caller);
+    };
+    m_callerListener = std::make_unique<channel_listener>(m_loop, m_options.settings.callers, [this](int descriptor) { onCaller(descriptor); });
+    m_readinessListener = std::make_unique<channel_listener>(m_loop, m_options.settings.readiness, acceptProbe);
+    if (!m_options.settings.metricsAddress) {
+        return;
+    }
+    try {
+        m_metricsListener = std::make_unique<channel_listener>(m_loop, *m_options.settings.metricsAddress, acceptProbe);
+    } catch (const shunt_error &error) {
+        // Callers are served without metrics rather than not at all.
+        m_log.write(event_number::settings_fault, {{"reason", error.what()}});
+    }
+}
+
+void gateway::addGauges()
+{
+    m_counters.addGauge("open_requests", [this] { return static_cast<double>(m_context.openSessions); });
+    m_counters.addGauge("waiting_requests", [this] { return static_cast<double>(m_context.line.size()); });
+    m_counters.addGauge("caller_connections", [this] { return static_cast<double>(m_callers.size()); });
+    m_counters.addGauge("endpoint_connections_opened", [this] { return static_cast<double>(m_pool.opened()); });
+    m_counters.addGauge("endpoints_listed", [this] { return static_cast<double>(m_roster.size()); });
+    m_counters.addGauge("live_entries", [this] { return static_cast<double>(m_planner.liveEntries(m_loop.now())); });
+    m_counters.addGauge("declarations_version", [this] { return m_context.table == nullptr ? -1.0 : static_cast<double>(m_context.table->version()); });
+    m_counters.addGauge("declarations_age_seconds", [this] { return toSeconds(m_loop.now() - m_declarations.lastAnswer()); });
+    m_counters.addGauge("endpoint_list_age_seconds", [this] { return toSeconds(m_loop.now() - m_endpoints.lastAnswer()); });
+}
+
 peer_message gateway::describe()
 {
     return {.declarationsVersion = m_context.table == nullptr ? -1 : m_context.table->version(),
@@ -189,6 +222,12 @@
     constexpr int ok = 200;
     constexpr int unavailable = 503;
     constexpr int notFound = 404;
+    if (request.target == metricsPath) {
+        std::string head;
+        appendResponseHead(head, ok, reasonPhrase(ok), {{"Content-Type", "text/plain; version=0.0.4"}});
+        caller->answer(std::move(head), m_counters.render());
+        return;
+    }
     answerPlain(*caller, request.target != m_options.dialect.readinessPath ? notFound : isReady() ? ok : unavailable);
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -57,6 +57,7 @@
     void onCaller(int descriptor);
     void onRequest(const std::shared_ptr<caller_connection> &caller, received_request &&request);
     void onGone(caller_connection &caller);
+    /// Serves readiness and metrics.
     void onReadinessRequest(const std::shared_ptr<caller_connection> &caller, const received_request &request);
     void onFault(const std::shared_ptr<caller_connection> &caller, read_fault fault);
     void onDeclarations(const keyed_record &record);
@@ -69,6 +70,8 @@
     void continueLeaving();
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] peer_message describe();
+    void listen();
+    void addGauges();
 
     gateway_options m_options;
     event_loop m_loop;
@@ -76,6 +79,7 @@
     endpoint_roster m_roster;
     placement_planner m_planner;
     endpoint_pool m_pool;
+    metrics m_counters;
     gateway_context m_context;
     log_follower m_declarations;
     log_follower m_endpoints;
@@ -84,6 +88,7 @@
     std::shared_ptr<const caller_hooks> m_readinessHooks;
     std::unique_ptr<channel_listener> m_callerListener;
     std::unique_ptr<channel_listener> m_readinessListener;
+    std::unique_ptr<channel_listener> m_metricsListener;
     std::unordered_map<caller_connection *, std::shared_ptr<caller_connection>> m_callers;
     std::unordered_map<caller_connection *, std::shared_ptr<caller_connection>> m_readinessCallers;
     std::unordered_map<caller_connection *, std::weak_ptr<request_session>> m_sessions;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -4,6 +4,7 @@
 #include "dispatch/placement.h"
 #include "dispatch/retry_allowance.h"
 #include "dispatch/waiting_line.h"
+#include "evidence/metrics.h"
 #include "gateway/endpoint_pool.h"
 #include "gateway/event_log.h"
 #include "gateway/wire_dialect.h"
@@ -27,6 +28,7 @@
     endpoint_roster &roster;
     placement_planner &planner;
     endpoint_pool &pool;
+    metrics &counters;
     retry_allowance_options retryOptions;
     /// The declarations in force; nullptr before any are known.
     std::shared_ptr<const route_table> table;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -18,6 +18,8 @@
     std::string availabilityZone;
     socket_address callers;
     socket_address readiness;
+    /// Where metrics are served as text; nowhere if unset.
+    std::optional<socket_address> metricsAddress;
     /// Where other entries reach this one; without it entries do not exchange loads.
     std::optional<socket_address> control;
     /// Entries to begin with; they may be down.
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -408,6 +408,7 @@
     const auto now = m_context.loop.now();
     const auto step = decideNextStep(state(), outcome, [&] { return m_context.allowanceOf(m_service).trySpend(now, m_context.planner.liveEntries(now)); });
     if (step != next_step::answer) {
+        m_context.counters.count(event_number::attempt_retried, m_route->name);
         m_context.log.write(event_number::attempt_retried,
                             {{"request", m_facts.attemptId},
                              {"outcome", std::string(toString(outcome))},
@@ -448,6 +449,7 @@
         refuse(error_kind::upstream_failed, shortRetry);
         return;
     }
+    notePace();
     std::string head;
     appendResponseHead(head, m_head.status, m_head.reason, endToEndHeaders(m_head.headers));
     const auto caller = std::exchange(m_caller, nullptr);
@@ -489,9 +491,15 @@
     m_isFinished = true;
     leaveLine();
     m_context.loop.cancel(m_timer);
+    const std::string className = m_route == nullptr ? "-" : m_route->name;
+    m_context.counters.count(event, className);
+    if (m_firstByteAfter > duration{}) {
+        m_context.counters.observeSeconds("first_byte_seconds", className, toSeconds(m_firstByteAfter));
+        m_context.counters.observeSeconds("longest_pause_seconds", className, toSeconds(m_longestPause));
+    }
     m_context.log.write(event,
                         {{"request", m_facts.attemptId},
-                         {"route", m_route == nullptr ? "-" : m_route->name},
+                         {"route", className},
                          {"workspace", m_workspace.empty() ? "-" : m_workspace},
                          {"rank", std::to_string(m_rank)},
                          {"reason", reason},
--- a/test/gateway_test.cpp
+++ b/test/gateway_test.cpp
@@ -85,6 +85,7 @@
             const boot_clock clock;
             auto settings = platform::parseSettings(m_settings);
             settings.acceptWhileLeaving = {};
+            settings.metricsAddress.reset();
             gateway entry({.settings = settings,
                            .dialect = platform::makeWireDialect(),
                            .logDialect = platform::makeLogDialect(),
@@ -130,6 +131,7 @@
 
     std::vector<std::unique_ptr<loopback_server>> m_endpoints;
     std::uint16_t m_callerPort = 0;
+    std::uint16_t m_readinessPort = 0;
 
 private:
     scripted_answer serveLog(const received_request &request)
@@ -188,7 +190,6 @@
     }
 
     loopback_server m_log{[this](const received_request &request) { return serveLog(request); }};
-    std::uint16_t m_readinessPort = 0;
     std::string m_settings;
     std::atomic<bool> m_isStopRequested{false};
     std::thread m_thread;
@@ -354,6 +355,18 @@
     EXPECT_NE(callOnce(request("/short/1")).find("HTTP/1.1 504"), std::string::npos);
 }
 
+TEST_F(gateway_test, ServesMetricsByClassBesideReadiness)
+{
+    start([](const received_request &got) { return ok(got, "body"); });
+    callOnce(request("/book/1"));
+    raw_caller collector(m_readinessPort);
+    collector.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    const auto page = collector.readAll();
+    EXPECT_NE(page.find("wisteriashunt_events_total{event=\"request_answered\",class=\"unsafe\"} 1"), std::string::npos) << page;
+    EXPECT_NE(page.find("wisteriashunt_first_byte_seconds_count{class=\"unsafe\"} 1"), std::string::npos) << page;
+    EXPECT_NE(page.find("wisteriashunt_endpoints_listed 1"), std::string::npos) << page;
+}
+
 TEST_F(gateway_test, AnswersPipelinedRequestsInOrder)
 {
     start([](const received_request &got) { return ok(got, got.target); });
