Let entries that the log refuses learn its records from those that it serves

Cause: with the log turning some entries away for 9 s, these served with the declarations and endpoints of before, keys that had been taken away among them; nothing but luck kept them inside the bound.

An entry that starts without the log becomes ready that way.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -106,17 +106,7 @@
                 {{"instance", m_options.settings.instance}, {"zone", m_options.settings.availabilityZone}, {"callers", toString(m_options.settings.callers)}});
     addGauges();
     listen();
-    if (m_options.settings.control) {
-        m_peers = std::make_unique<peer_exchange>(
-            m_loop,
-            m_log,
-            peer_exchange_options{.seeds = m_options.settings.seeds, .self = *m_options.settings.control},
-            [this] { return describe(); },
-            [this](const socket_address &from, const peer_message &message) {
-                m_planner.onPeerDigest(toString(from), message.load, m_loop.now());
-                m_context.noteRoom();
-            });
-    }
+    meetPeers();
     m_declarations.start();
     m_endpoints.start();
     repeat(m_loop, tickPeriod, [this] { onTick(); });
@@ -143,6 +133,31 @@
     }
 }
 
+void gateway::meetPeers()
+{
+    const auto &self = m_options.settings.control;
+    if (!self) {
+        return;
+    }
+    m_peerRecords = std::make_unique<peer_records>(m_loop, m_log, peer_records_options{.self = *self}, std::vector{&m_declarations, &m_endpoints});
+    m_peers = std::make_unique<peer_exchange>(
+        m_loop,
+        m_log,
+        peer_exchange_options{.seeds = m_options.settings.seeds, .self = *self},
+        [this] { return describe(); },
+        [this](const socket_address &from, const peer_message &message) { onPeerMessage(from, message); });
+}
+
+void gateway::onPeerMessage(const socket_address &from, const peer_message &message)
+{
+    m_planner.onPeerDigest(toString(from), message.load, m_loop.now());
+    m_context.noteRoom();
+    const std::int64_t inForce = m_context.table == nullptr ? -1 : m_context.table->version();
+    if (message.declarationsVersion > inForce) {
+        m_peerRecords->notePeerAhead(m_declarations.topic());
+    }
+}
+
 void gateway::addGauges()
 {
     m_counters.addGauge("open_requests", [this] { return static_cast<double>(m_context.openSessions); });
@@ -254,6 +269,9 @@
         m_log.write(event_number::configuration_applied,
                     {{"version", std::to_string(declared.version)}, {"before", std::to_string(inForce)}, {"routes", std::to_string(declared.routes.size())}});
         m_context.table = std::make_shared<const route_table>(std::move(declared));
+        if (m_peerRecords != nullptr) {
+            m_peerRecords->noteNotAhead(m_declarations.topic());
+        }
     } catch (const shunt_error &error) {
         m_log.write(event_number::record_unusable, {{"key", record.key}, {"reason", error.what()}});
     }
@@ -307,6 +325,9 @@
     }
     m_pool.dropAged();
     closeStaleCallers();
+    if (m_peers != nullptr) {
+        m_peerRecords->fetchIfDue(m_peers->livePeers());
+    }
     if (m_options.takeReloadRequest()) {
         try {
             const auto settings = m_options.reloadSettings();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/log_follower.h"
 #include "gateway/peer_exchange.h"
+#include "gateway/peer_records.h"
 #include "gateway/request_session.h"
 #include "http/caller_connection.h"
 
@@ -71,6 +72,8 @@
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] peer_message describe();
     void listen();
+    void meetPeers();
+    void onPeerMessage(const socket_address &from, const peer_message &message);
     void addGauges();
 
     gateway_options m_options;
@@ -84,6 +87,7 @@
     log_follower m_declarations;
     log_follower m_endpoints;
     std::unique_ptr<peer_exchange> m_peers;
+    std::unique_ptr<peer_records> m_peerRecords;
     std::shared_ptr<const caller_hooks> m_callerHooks;
     std::shared_ptr<const caller_hooks> m_readinessHooks;
     std::unique_ptr<channel_listener> m_callerListener;
--- a/src/gateway/keyed_log.h
+++ b/src/gateway/keyed_log.h
@@ -31,6 +31,16 @@
     bool hasMore = false;
 };
 
+/// The newest record of every key, as far as the log had been read.
+struct keyed_snapshot
+{
+    /// Offset after the last record that was read.
+    std::int64_t next = 0;
+    std::vector<keyed_record> records;
+
+    bool operator==(const keyed_snapshot &) const = default;
+};
+
 /// Builds calls to the log and reads their answers; filled in by the platform's adapter. The readers throw shunt_error(platform_unavailable)
 /// with the reason if the bytes are not what was asked for.
 struct keyed_log_dialect
--- a/src/gateway/log_follower.cpp
+++ b/src/gateway/log_follower.cpp
@@ -61,9 +61,34 @@
     return m_lastAnswer;
 }
 
-std::int64_t log_follower::nextOffset() const
+const std::string &log_follower::topic() const
 {
-    return m_next;
+    return m_options.topic;
+}
+
+keyed_snapshot log_follower::snapshot() const
+{
+    keyed_snapshot made{.next = m_next};
+    for (const auto &[key, record] : m_records) {
+        made.records.push_back(record);
+    }
+    return made;
+}
+
+void log_follower::offer(const keyed_snapshot &snapshot)
+{
+    if (snapshot.next <= m_next) {
+        return;
+    }
+    m_timing = record_timing::steady;
+    std::set<std::string> listed;
+    for (const auto &record : snapshot.records) {
+        listed.insert(record.key);
+        take(record);
+    }
+    dropUnlisted(listed, snapshot.next);
+    m_lastAnswer = m_loop.now();
+    completeUpTo(snapshot.next);
 }
 
 void log_follower::call(std::string request, duration wait, std::function<void(int, const std::string &)> onAnswer)
@@ -123,28 +148,38 @@
         m_resumeAt = page.end;
     }
     for (const auto &record : page.records) {
-        m_listed[record.key] = record.offset;
+        m_listed.insert(record.key);
         take(record);
     }
     if (page.hasMore && !page.records.empty()) {
         readNewest(page.records.back().key);
         return;
     }
+    dropUnlisted(m_listed, m_resumeAt);
+    completeUpTo(m_resumeAt);
+    scheduleNext(m_options.period);
+}
+
+void log_follower::dropUnlisted(const std::set<std::string> &listed, std::int64_t end)
+{
     std::vector<std::string> dropped;
-    for (const auto &[key, offset] : m_offsets) {
-        if (!m_listed.contains(key) && offset < m_resumeAt) {
+    for (const auto &[key, record] : m_records) {
+        if (!listed.contains(key) && record.offset < end) {
             dropped.push_back(key);
         }
     }
     for (const auto &key : dropped) {
-        take({.key = key, .offset = m_resumeAt});
+        take({.key = key, .offset = end});
     }
-    m_next = std::max(m_next, m_resumeAt);
+}
+
+void log_follower::completeUpTo(std::int64_t next)
+{
+    m_next = std::max(m_next, next);
     if (!m_isComplete) {
         m_isComplete = true;
         m_hooks.onComplete();
     }
-    scheduleNext(m_options.period);
 }
 
 void log_follower::readRecords()
@@ -176,14 +211,14 @@
 
 void log_follower::take(const keyed_record &record)
 {
-    const auto known = m_offsets.find(record.key);
-    if (known != m_offsets.end() && known->second >= record.offset) {
+    const auto known = m_records.find(record.key);
+    if (known != m_records.end() && known->second.offset >= record.offset) {
         return;
     }
     if (record.value) {
-        m_offsets[record.key] = record.offset;
+        m_records[record.key] = record;
     } else {
-        m_offsets.erase(record.key);
+        m_records.erase(record.key);
     }
     m_hooks.onRecord(record, m_timing);
 }
--- a/src/gateway/log_follower.h
+++ b/src/gateway/log_follower.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace wisteriashunt
@@ -68,7 +69,13 @@
     /// The whole topic has been read at least once.
     [[nodiscard]] bool isComplete() const;
     [[nodiscard]] time_point lastAnswer() const;
-    [[nodiscard]] std::int64_t nextOffset() const;
+    [[nodiscard]] const std::string &topic() const;
+
+    /// What is known of the topic, for entries that the log refuses.
+    [[nodiscard]] keyed_snapshot snapshot() const;
+
+    /// Takes in what another entry knows; older records change nothing.
+    void offer(const keyed_snapshot &snapshot);
 
 private:
     void readNewest(const std::string &afterKey);
@@ -76,6 +83,8 @@
     void call(std::string request, duration wait, std::function<void(int status, const std::string &body)> onAnswer);
     void onNewestPage(const keyed_page &page);
     void take(const keyed_record &record);
+    void dropUnlisted(const std::set<std::string> &listed, std::int64_t end);
+    void completeUpTo(std::int64_t next);
     void succeed();
     void fail(const std::string &reason);
     void scheduleNext(duration pause);
@@ -86,8 +95,8 @@
     follower_options m_options;
     follower_hooks m_hooks;
     std::shared_ptr<upstream_connection> m_connection;
-    std::map<std::string, std::int64_t> m_offsets;
-    std::map<std::string, std::int64_t> m_listed;
+    std::map<std::string, keyed_record> m_records;
+    std::set<std::string> m_listed;
     std::int64_t m_next = -1;
     std::int64_t m_resumeAt = 0;
     timer_id m_timeout = 0;
--- /dev/null
+++ b/src/gateway/peer_records.cpp
@@ -0,0 +1,159 @@
+#include "gateway/peer_records.h"
+
+#include "wisteriashunt/errors.h"
+
+#include <algorithm>
+#include <msgpack.hpp>
+#include <tuple>
+
+namespace wisteriashunt
+{
+
+namespace
+{
+
+using packed_record = std::tuple<std::string, std::string, std::int64_t>;
+using packed_snapshot = std::tuple<std::int64_t, std::vector<packed_record>>;
+
+constexpr std::string_view recordsPath = "/records/";
+constexpr std::chrono::milliseconds connectTimeout{300};
+constexpr int okStatus = 200;
+
+} // namespace
+
+std::string encodeSnapshot(const keyed_snapshot &snapshot)
+{
+    std::vector<packed_record> records;
+    for (const auto &record : snapshot.records) {
+        records.emplace_back(record.key, record.value.value_or(""), record.offset);
+    }
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, packed_snapshot{snapshot.next, records});
+    return {buffer.data(), buffer.size()};
+}
+
+keyed_snapshot decodeSnapshot(std::string_view bytes)
+{
+    try {
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        const auto [next, records] = handle.get().as<packed_snapshot>();
+        keyed_snapshot snapshot{.next = next};
+        for (const auto &[key, value, offset] : records) {
+            snapshot.records.push_back({.key = key, .value = value, .offset = offset});
+        }
+        return snapshot;
+    } catch (const msgpack::type_error &) {
+        throw shunt_error(error_kind::malformed_frame, "a snapshot with a field of another type");
+    } catch (const msgpack::unpack_error &) {
+        throw shunt_error(error_kind::malformed_frame, "a snapshot that is not msgpack");
+    }
+}
+
+peer_records::peer_records(event_loop &loop, event_log &log, const peer_records_options &options, std::vector<log_follower *> followers)
+    : m_loop(loop)
+    , m_log(log)
+    , m_options(options)
+    , m_followers(std::move(followers))
+    , m_hooks(std::make_shared<caller_hooks>(caller_hooks{.onRequest = [this](const auto &caller, received_request &&request) { serve(caller, request); },
+                                                          .onGone = [](caller_connection &) {},
+                                                          .onEnd =
+                                                              [this](caller_connection &caller) {
+                                                                  const auto held = m_callers.extract(&caller);
+                                                                  if (!held.empty()) {
+                                                                      m_loop.retire(held.mapped());
+                                                                  }
+                                                              },
+                                                          .onFault = [](const auto &caller, read_fault) { caller->abort(); }}))
+    , m_listener(std::make_unique<channel_listener>(loop, options.self, [this](int descriptor) {
+        const auto caller = caller_connection::adopt(m_loop, descriptor, {}, m_hooks);
+        m_callers.emplace(caller.get(), caller);
+    }))
+{
+}
+
+void peer_records::serve(const std::shared_ptr<caller_connection> &caller, const received_request &request)
+{
+    constexpr int notFound = 404;
+    const auto follower = std::find_if(
+        m_followers.begin(), m_followers.end(), [&](const log_follower *each) { return request.target == std::string(recordsPath) + each->topic(); });
+    const bool isKnown = follower != m_followers.end() && (*follower)->isComplete();
+    const int status = isKnown ? okStatus : notFound;
+    std::string head;
+    appendResponseHead(head, status, reasonPhrase(status), {});
+    caller->answer(std::move(head), isKnown ? encodeSnapshot((*follower)->snapshot()) : std::string());
+}
+
+void peer_records::notePeerAhead(const std::string &topic)
+{
+    auto &state = m_topics[topic];
+    if (state.aheadSince == time_point{}) {
+        state.aheadSince = m_loop.now();
+    }
+}
+
+void peer_records::noteNotAhead(const std::string &topic)
+{
+    m_topics[topic].aheadSince = {};
+}
+
+bool peer_records::isDue(const log_follower &follower, const topic_state &state) const
+{
+    const bool hasWaited = state.aheadSince != time_point{} && m_loop.now() - state.aheadSince > m_options.patience;
+    const bool isWanted = hasWaited || !follower.isReachable();
+    return isWanted && state.connection == nullptr && m_loop.now() - state.lastFetch > m_options.period;
+}
+
+void peer_records::fetchIfDue(const std::vector<socket_address> &peers)
+{
+    if (peers.empty()) {
+        return;
+    }
+    for (auto *follower : m_followers) {
+        auto &state = m_topics[follower->topic()];
+        if (isDue(*follower, state)) {
+            fetch(*follower, state, peers[m_turn++ % peers.size()]);
+        }
+    }
+}
+
+void peer_records::fetch(log_follower &follower, topic_state &state, const socket_address &peer)
+{
+    state.lastFetch = m_loop.now();
+    state.connection = upstream_connection::open(m_loop, peer, {.connectTimeout = connectTimeout});
+    const auto end = [this, &state] {
+        m_loop.cancel(state.timeout);
+        state.connection->close();
+        m_loop.retire(std::exchange(state.connection, nullptr));
+    };
+    const auto fail = [this, end, peer](const std::string &reason) {
+        m_log.write(event_number::peer_down, {{"peer", toString(peer)}, {"reason", reason}});
+        end();
+    };
+    state.timeout = m_loop.schedule(m_loop.now() + m_options.timeout, [fail] { fail("timeout"); });
+    const auto status = std::make_shared<int>(0);
+    const auto body = std::make_shared<std::string>();
+    std::string request = "GET " + std::string(recordsPath) + follower.topic() + " HTTP/1.1\r\nHost: " + toString(peer) + "\r\n\r\n";
+    state.connection->send(std::move(request),
+                           {.onHead =
+                                [status](http_response_head &head) {
+                                    *status = head.status;
+                                    return true;
+                                },
+                            .onBody = [body](std::string_view bytes) { body->append(bytes); },
+                            .onComplete =
+                                [&follower, status, body, end, fail] {
+                                    if (*status != okStatus) {
+                                        fail("status_" + std::to_string(*status));
+                                        return;
+                                    }
+                                    try {
+                                        follower.offer(decodeSnapshot(*body));
+                                        end();
+                                    } catch (const shunt_error &error) {
+                                        fail(error.what());
+                                    }
+                                },
+                            .onFailure = [fail](exchange_failure failure, channel_end) { fail(std::string(toString(failure))); }});
+}
+
+} // namespace wisteriashunt
--- a/test/gateway_test.cpp
+++ b/test/gateway_test.cpp
@@ -57,8 +57,8 @@
     void TearDown() override
     {
         m_isStopRequested = true;
-        if (m_thread.joinable()) {
-            m_thread.join();
+        for (auto &thread : m_threads) {
+            thread.join();
         }
     }
 
@@ -71,19 +71,33 @@
         }
         m_callerPort = freePort();
         m_readinessPort = freePort();
+        m_controlPort = freePort();
+        launch(settingsOf(m_callerPort, m_readinessPort, m_controlPort, m_log.port()));
+        waitUntilReady(m_readinessPort);
+    }
+
+    static std::string settingsOf(std::uint16_t callers, std::uint16_t readiness, std::uint16_t control, std::uint16_t log, std::uint16_t seed = 0)
+    {
         const std::string local = "127.0.0.1:";
-        m_settings =
-            json{{"node_name", "entry-1"},
-                 {"zone", "z"},
-                 {"listen", {{"front", local + std::to_string(m_callerPort)}, {"ready", local + std::to_string(m_readinessPort)}}},
-                 {"limits", {{"memory_mb", 260}, {"max_fds", 4200}}},
-                 {"bounds",
-                  {{"grace_period_s", 8}, {"config_converge_ms", 2000}, {"retry_budget_ratio", 0.2}, {"retry_budget_slack", 52}, {"budget_window_s", 10}}},
-                 {"platform", {{"address", local + std::to_string(m_log.port())}}}}
-                .dump();
-        m_thread = std::thread([this] {
+        json settings{
+            {"node_name", "entry"},
+            {"zone", "z"},
+            {"listen",
+             {{"front", local + std::to_string(callers)}, {"ready", local + std::to_string(readiness)}, {"control", local + std::to_string(control)}}},
+            {"limits", {{"memory_mb", 260}, {"max_fds", 4200}}},
+            {"bounds", {{"grace_period_s", 8}, {"config_converge_ms", 2000}, {"retry_budget_ratio", 0.2}, {"retry_budget_slack", 52}, {"budget_window_s", 10}}},
+            {"platform", {{"address", local + std::to_string(log)}}}};
+        if (seed != 0) {
+            settings["seed_addrs"] = {local + std::to_string(seed)};
+        }
+        return settings.dump();
+    }
+
+    void launch(const std::string &text)
+    {
+        m_threads.emplace_back([this, text] {
             const boot_clock clock;
-            auto settings = platform::parseSettings(m_settings);
+            auto settings = platform::parseSettings(text);
             settings.acceptWhileLeaving = {};
             settings.metricsAddress.reset();
             gateway entry({.settings = settings,
@@ -92,19 +106,23 @@
                            .decoders = platform::makeRecordDecoders(),
                            .isStopRequested = [this] { return m_isStopRequested.load(); },
                            .takeReloadRequest = [] { return false; },
-                           .reloadSettings = [this] { return platform::parseSettings(m_settings); }},
+                           .reloadSettings = [text] { return platform::parseSettings(text); }},
                           clock);
             entry.run();
         });
-        while (readiness() != 200) {
+    }
+
+    static void waitUntilReady(std::uint16_t port)
+    {
+        while (readiness(port) != 200) {
             std::this_thread::sleep_for(std::chrono::milliseconds(10));
         }
     }
 
-    int readiness() const
+    static int readiness(std::uint16_t port)
     {
         try {
-            raw_caller caller(m_readinessPort);
+            raw_caller caller(port);
             caller.send("GET /wisteriashunt/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
             const auto reply = caller.readAll();
             return reply.size() < 12 ? 0 : std::stoi(reply.substr(9, 3));
@@ -121,10 +139,15 @@
 
     /// The whole answer to one request on a connection of its own.
     std::string callOnce(std::string bytes) const
+    {
+        return callOnceAt(m_callerPort, std::move(bytes));
+    }
+
+    static std::string callOnceAt(std::uint16_t port, std::string bytes)
     {
         const std::string host = "Host: h.example\r\n";
         bytes.insert(bytes.find(host) + host.size(), "Connection: close\r\n");
-        raw_caller caller(m_callerPort);
+        raw_caller caller(port);
         caller.send(bytes);
         return caller.readAll();
     }
@@ -132,6 +155,7 @@
     std::vector<std::unique_ptr<loopback_server>> m_endpoints;
     std::uint16_t m_callerPort = 0;
     std::uint16_t m_readinessPort = 0;
+    std::uint16_t m_controlPort = 0;
 
 private:
     scripted_answer serveLog(const received_request &request)
@@ -190,9 +214,8 @@
     }
 
     loopback_server m_log{[this](const received_request &request) { return serveLog(request); }};
-    std::string m_settings;
     std::atomic<bool> m_isStopRequested{false};
-    std::thread m_thread;
+    std::vector<std::thread> m_threads;
 };
 
 TEST_F(gateway_test, PassesRequestAndAnswerOnUnchanged)
@@ -367,6 +390,17 @@
     EXPECT_NE(page.find("wisteriashunt_endpoints_listed 1"), std::string::npos) << page;
 }
 
+TEST_F(gateway_test, AnEntryThatTheLogRefusesLearnsFromAnother)
+{
+    start([](const received_request &got) { return ok(got, "served"); });
+    const auto callers = freePort();
+    const auto readiness = freePort();
+    const auto closedLog = freePort();
+    launch(settingsOf(callers, readiness, freePort(), closedLog, m_controlPort));
+    waitUntilReady(readiness);
+    EXPECT_TRUE(callOnceAt(callers, request("/book/1")).ends_with("served"));
+}
+
 TEST_F(gateway_test, AnswersPipelinedRequestsInOrder)
 {
     start([](const received_request &got) { return ok(got, got.target); });
--- /dev/null
+++ b/test/log_follower_test.cpp
@@ -0,0 +1,90 @@
+// What an entry keeps of a topic of the platform's log, and what other entries can add to it.
+#include "gateway/log_follower.h"
+#include "gateway/peer_records.h"
+#include "wisteriashunt/errors.h"
+
+#include <gtest/gtest.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace wisteriashunt
+{
+namespace
+{
+
+class still_clock final : public clock_source
+{
+public:
+    [[nodiscard]] time_point now() const override
+    {
+        return time_point(std::chrono::seconds(1000));
+    }
+};
+
+class log_follower_test : public ::testing::Test
+{
+protected:
+    ~log_follower_test() override
+    {
+        close(m_sink);
+    }
+
+    static keyed_record record(const std::string &key, const std::string &value, std::int64_t offset)
+    {
+        return {.key = key, .value = value, .offset = offset};
+    }
+
+    int m_sink = open("/dev/null", O_WRONLY | O_CLOEXEC);
+    still_clock m_clock;
+    event_loop m_loop{m_clock};
+    event_log m_log{m_loop, {.descriptor = m_sink}};
+    keyed_log_dialect m_dialect;
+    std::vector<std::string> m_seen;
+    int m_completions = 0;
+    log_follower m_follower{
+        m_loop,
+        m_log,
+        m_dialect,
+        {.topic = "t"},
+        {.onRecord = [this](const keyed_record &changed, record_timing) { m_seen.push_back(changed.key + "=" + changed.value.value_or("none")); },
+         .onComplete = [this] { ++m_completions; }}};
+};
+
+TEST_F(log_follower_test, TakesInWhatAnotherEntryKnows)
+{
+    m_follower.offer({.next = 8, .records = {record("a", "1", 3), record("b", "2", 7)}});
+    EXPECT_EQ(m_seen, (std::vector<std::string>{"a=1", "b=2"}));
+    EXPECT_TRUE(m_follower.isComplete());
+    EXPECT_EQ(m_completions, 1);
+}
+
+TEST_F(log_follower_test, NeverGoesBackToOlderRecords)
+{
+    m_follower.offer({.next = 8, .records = {record("a", "new", 7)}});
+    m_follower.offer({.next = 5, .records = {record("a", "old", 4), record("gone", "x", 2)}});
+    m_follower.offer({.next = 9, .records = {record("a", "old", 4)}});
+    EXPECT_EQ(m_seen, (std::vector<std::string>{"a=new"}));
+    EXPECT_EQ(m_follower.snapshot(), (keyed_snapshot{.next = 9, .records = {record("a", "new", 7)}}));
+}
+
+TEST_F(log_follower_test, DropsKeysThatANewerSnapshotDoesNotList)
+{
+    m_follower.offer({.next = 8, .records = {record("a", "1", 3), record("b", "2", 7)}});
+    m_follower.offer({.next = 10, .records = {record("b", "2", 7)}});
+    EXPECT_EQ(m_seen, (std::vector<std::string>{"a=1", "b=2", "a=none"}));
+    EXPECT_EQ(m_completions, 1);
+}
+
+TEST(keyed_snapshot_test, SurvivesEncodingAndRefusesOtherBytes)
+{
+    const keyed_snapshot snapshot{.next = 12, .records = {{.key = "k", .value = "v", .offset = 3}}};
+    const auto bytes = encodeSnapshot(snapshot);
+    EXPECT_EQ(decodeSnapshot(bytes), snapshot);
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        EXPECT_THROW(static_cast<void>(decodeSnapshot(bytes.substr(0, length))), shunt_error) << "cut after " << length << " bytes";
+    }
+}
+
+} // namespace
+} // namespace wisteriashunt
