Refuse long prompts that would begin late, but none for its own length

Change: a long prompt is sent if its first byte is predicted within 0.6 of what is left of its target, or if it would wait for no more than a tenth of the target behind others; else it waits in line and is then refused. The log holds a call for declarations 4 s, not 1.5 s.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -256,6 +256,13 @@
     return std::max<std::int64_t>(request.promptTokens - shared, 0);
 }
 
+duration placement_planner::longestFirstByte(const placement_request &request, double readMilliseconds) const
+{
+    const double target = toMilliseconds(request.firstByteTarget);
+    const double alone = m_options.baseMilliseconds + readMilliseconds;
+    return std::min(request.usefulWait, fromMilliseconds(std::max(m_options.targetShare * target, alone + m_options.queueShare * target)));
+}
+
 placement_decision placement_planner::placeHeavy(const placement_request &request, std::vector<candidate> usable, time_point now)
 {
     const std::size_t group = std::min(lightGroupSize(request.service, now), usable.size() - 1);
@@ -292,7 +299,7 @@
         }
     }
     const auto predicted = fromMilliseconds(m_options.baseMilliseconds + bestWait);
-    if (isFull(*best) || predicted > request.usefulWait) {
+    if (isFull(*best) || predicted > longestFirstByte(request, millisecondsToRead(best->endpoint->record.id, bestUncached, now))) {
         return {.refusal = placement_refusal::overloaded, .retryAfter = std::max(predicted, m_options.overloadRetry)};
     }
     return {.chosen = {.endpoint = best->endpoint, .uncachedTokens = bestUncached, .isHeavy = true, .predictedFirstByte = predicted}};
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -82,6 +82,11 @@
     double lightPrefillShare = 0.55;
     /// Time for which the group of short-prompt engines keeps its size after the demand has fallen.
     duration groupHold = std::chrono::seconds(3);
+    /// Share of the target within which the first byte of a long prompt must be predicted; predictions are a third too short where
+    /// engines are busy.
+    double targetShare = 0.6;
+    /// Share of the target that a prompt may wait behind others in any case, so that the longest are not refused for their length.
+    double queueShare = 0.1;
     /// When to come back at the earliest after a refusal for load.
     duration overloadRetry = std::chrono::milliseconds(1200);
     /// Time for which an engine is expected to keep a shared part; engines of today's sites keep them longer.
@@ -96,7 +101,9 @@
     std::int64_t promptTokens = 0;
     /// The service keeps prompts (model engines).
     bool hasPrompt = false;
-    /// Most that the caller still gains from waiting for the first byte.
+    /// Time until which the first byte should have come.
+    duration firstByteTarget{};
+    /// Most that the caller can still wait for it.
     duration usefulWait{};
     /// Endpoints that were tried.
     std::vector<std::string> excluded;
@@ -181,6 +188,8 @@
     [[nodiscard]] placement_decision placeByLoad(const std::vector<candidate> &usable) const;
     [[nodiscard]] placement_decision placeLight(const placement_request &request, std::vector<candidate> usable, time_point now);
     [[nodiscard]] placement_decision placeHeavy(const placement_request &request, std::vector<candidate> usable, time_point now);
+    /// Longest predicted time to the first byte with which the request is still sent.
+    [[nodiscard]] duration longestFirstByte(const placement_request &request, double readMilliseconds) const;
     [[nodiscard]] std::int64_t uncachedTokens(const placement_request &request, const candidate &at, time_point now) const;
     [[nodiscard]] double millisecondsToRead(const std::string &endpointId, std::int64_t tokens, time_point now) const;
     [[nodiscard]] double slownessOf(const std::string &endpointId, time_point now) const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,8 +24,9 @@
 /// get no more work.
 constexpr std::chrono::milliseconds endpointsPeriod{700};
 
-/// The log holds a call for new declarations this long.
-constexpr std::chrono::milliseconds declarationsWait{1500};
+/// The log holds a call for new declarations this long. A connection that has gone silent is noticed after it; peers that have heard of
+/// newer declarations are asked long before.
+constexpr std::chrono::milliseconds declarationsWait{4000};
 
 /// Where metrics are served, in the text format that collectors read.
 constexpr std::string_view metricsPath = "/metrics";
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -130,6 +130,7 @@
 placement_decision request_session::place()
 {
     m_placementRequest.usefulWait = usefulWait();
+    m_placementRequest.firstByteTarget = std::max(duration{}, m_route->firstByteTarget - (m_context.loop.now() - m_arrival));
     return m_context.planner.place(m_placementRequest, m_context.loop.now());
 }
 
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -38,7 +38,12 @@
 
     static placement_request shortPrompt()
     {
-        return {.service = "model", .prompt = {{1, 119}, {2, 79}, {3, 630}}, .promptTokens = 828, .hasPrompt = true, .usefulWait = std::chrono::seconds(5)};
+        return {.service = "model",
+                .prompt = {{1, 119}, {2, 79}, {3, 630}},
+                .promptTokens = 828,
+                .hasPrompt = true,
+                .firstByteTarget = std::chrono::milliseconds(400),
+                .usefulWait = std::chrono::seconds(5)};
     }
 
     static placement_request longPrompt(std::uint64_t session)
@@ -47,6 +52,7 @@
                 .prompt = {{10, 2520}, {1000 + session, 3780}, {5000 + session, 2890}},
                 .promptTokens = 9190,
                 .hasPrompt = true,
+                .firstByteTarget = std::chrono::milliseconds(600),
                 .usefulWait = std::chrono::milliseconds(2500)};
     }
 
@@ -150,6 +156,23 @@
     EXPECT_EQ(m_planner.place(shortPrompt(), start).refusal, placement_refusal::none) << "short prompts are not refused for long ones";
 }
 
+TEST_F(placement_test, RefusesALongPromptThatWouldBeginLate)
+{
+    for (int i = 0; i < engines; ++i) {
+        m_planner.onPeerDigest(
+            "peer" + std::to_string(i), {.endpoints = {{"e" + std::to_string(i), {.waiting = 2, .waitingTokens = 16000, .heavy = 2}}}}, start);
+    }
+    EXPECT_EQ(m_planner.place(longPrompt(1), start).refusal, placement_refusal::overloaded) << "360 ms wait before its own 200 ms of reading";
+}
+
+TEST_F(placement_test, RefusesNoPromptForItsOwnLength)
+{
+    auto longest = longPrompt(1);
+    longest.prompt.back().tokens += 30000;
+    longest.promptTokens += 30000;
+    EXPECT_EQ(m_planner.place(longest, start).refusal, placement_refusal::none);
+}
+
 TEST_F(placement_test, CountsTheLoadOfOtherEntriesWhileItIsFresh)
 {
     m_planner.onPeerDigest("peer", {.endpoints = {{"p0", {.waiting = 3, .light = 5}}}}, start);
