Play begun answers in the placement tests that are about streams

Two tests sent dozens of long prompts in one instant and let none begin; since prompts that would wait behind others are refused, they never reached what they are about. Now the answers begin: the bound on tokens is checked for every engine, and that no engine stands idle while prompts are refused, which is stricter than the count before. The refusal itself has tests of its own.

--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -103,7 +103,9 @@
         shortOnes.insert(placed.endpoint->record.id);
     }
     for (std::uint64_t session = 0; session < 40; ++session) {
-        EXPECT_FALSE(shortOnes.contains(send(longPrompt(session)).endpoint->record.id)) << "session " << session;
+        const auto placed = send(longPrompt(session));
+        m_planner.onFirstByte(placed, std::chrono::milliseconds(230), start);
+        EXPECT_FALSE(shortOnes.contains(placed.endpoint->record.id)) << "session " << session;
     }
 }
 
@@ -144,15 +146,23 @@
 
 TEST_F(placement_test, RefusesLongPromptsBeyondWhatEnginesCanReadAndStillStream)
 {
-    int sent = 0;
-    while (m_planner.place(longPrompt(static_cast<std::uint64_t>(sent)), start).refusal == placement_refusal::none) {
-        send(longPrompt(static_cast<std::uint64_t>(sent)));
-        ASSERT_LT(++sent, 1000);
+    // Every answer has begun, so nothing waits; what was read for the streams under way is the bound.
+    std::uint64_t sent = 0;
+    for (auto decision = m_planner.place(longPrompt(sent), start); decision.refusal == placement_refusal::none;
+         decision = m_planner.place(longPrompt(sent), start)) {
+        m_planner.onSent(longPrompt(sent), decision.chosen, start);
+        m_planner.onFirstByte(decision.chosen, std::chrono::milliseconds(230), start);
+        ASSERT_LT(++sent, 1000U);
     }
-    const auto mostTokens = engines * (placement_options{}.heavyTokensPerEndpoint + 9190);
-    EXPECT_LE(sent * 2890, mostTokens);
-    EXPECT_GE(sent, engines);
-    EXPECT_GT(m_planner.place(longPrompt(1), start).retryAfter, duration{});
+    std::int64_t tokens = 0;
+    for (int i = 0; i < engines; ++i) {
+        const auto load = m_planner.loadOf("e" + std::to_string(i), start);
+        EXPECT_LE(load.heavyTokens, placement_options{}.heavyTokensPerEndpoint + 9190) << "engine " << i;
+        tokens += load.heavyTokens;
+    }
+    const auto longEngines = engines - static_cast<int>(m_planner.lightGroupSize("model", start));
+    EXPECT_GE(tokens, longEngines * placement_options{}.heavyTokensPerEndpoint) << "no engine stands idle while prompts are refused";
+    EXPECT_GT(m_planner.place(longPrompt(sent), start).retryAfter, duration{});
     EXPECT_EQ(m_planner.place(shortPrompt(), start).refusal, placement_refusal::none) << "short prompts are not refused for long ones";
 }
 
