--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -300,7 +300,7 @@
     }
     const auto predicted = fromMilliseconds(m_options.baseMilliseconds + bestWait);
     if (isFull(*best) || predicted > longestFirstByte(request, millisecondsToRead(best->endpoint->record.id, bestUncached, now))) {
-        return {.refusal = placement_refusal::overloaded, .retryAfter = std::max(predicted, m_options.overloadRetry)};
+        return {.refusal = placement_refusal::overloaded, .retryAfter = std::max(predicted, m_options.overloadRetry), .predictedFirstByte = predicted};
     }
     return {.chosen = {.endpoint = best->endpoint, .uncachedTokens = bestUncached, .isHeavy = true, .predictedFirstByte = predicted}};
 }
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -135,6 +135,8 @@
     placement chosen;
     /// When capacity is expected, for a refusal.
     duration retryAfter{};
+    /// Time to the first byte at the best endpoint, for a refusal for load.
+    duration predictedFirstByte{};
 };
 
 /// Loads, learnt speeds and the memory of what was placed where. Not thread-safe.
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -140,18 +140,24 @@
     const auto decision = isBehindOthers ? placement_decision{.refusal = placement_refusal::overloaded, .retryAfter = shortRetry} : place();
     if (decision.refusal == placement_refusal::none) {
         send(decision.chosen);
-    } else if (decision.refusal != placement_refusal::overloaded || !waitInLine()) {
+    } else if (decision.refusal != placement_refusal::overloaded || !waitInLine(decision)) {
         refuseUnplaced(decision);
     }
 }
 
-bool request_session::waitInLine()
+bool request_session::waitInLine(const placement_decision &refused)
 {
     // Most of the target is left for the engine to read the prompt and make the first event.
     const time_point until = m_arrival + m_route->firstByteTarget / 4;
     if (m_hasForwarded || m_context.loop.now() >= until) {
         return false;
     }
+    m_context.log.write(event_number::attempt_queued,
+                        {{"request", m_facts.attemptId},
+                         {"rank", std::to_string(m_rank)},
+                         {"predicted_ms", milliseconds(refused.predictedFirstByte)},
+                         {"in_line", std::to_string(m_context.line.size())},
+                         {"entries", std::to_string(m_context.planner.liveEntries(m_context.loop.now()))}});
     m_ticket = m_context.line.join(m_service, m_rank, [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (self == nullptr || self->m_isFinished) {
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -37,7 +37,7 @@
     /// Places the request if there is room. Returns why not otherwise.
     [[nodiscard]] placement_decision place();
     /// Waits in line for room as long as the answer can still begin on time. Returns false if it may not wait.
-    [[nodiscard]] bool waitInLine();
+    [[nodiscard]] bool waitInLine(const placement_decision &refused);
     void leaveLine();
     void refuseUnplaced(const placement_decision &decision);
     void send(const placement &placed);
