Count an answer of the log from the offset that was asked for

Change: the offset travels with the call. The test fails before (asks from 3) and passes after (from 2).

--- a/src/gateway/log_follower.cpp
+++ b/src/gateway/log_follower.cpp
@@ -185,7 +185,9 @@
 void log_follower::readRecords()
 {
     const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.wait);
-    call(m_dialect.recordsRequest(m_options.topic, m_next, wait.count()), m_options.wait, [this](int status, const std::string &body) {
+    // Another entry may move m_next on while the call is under way; the answer counts from where it was asked.
+    const std::int64_t from = m_next;
+    call(m_dialect.recordsRequest(m_options.topic, from, wait.count()), m_options.wait, [this, from](int status, const std::string &body) {
         if (status == m_dialect.deletedStatus) {
             succeed();
             readNewest({});
@@ -196,11 +198,11 @@
             return;
         }
         try {
-            const auto page = m_dialect.readRecords(body, m_next);
+            const auto page = m_dialect.readRecords(body, from);
             succeed();
             for (const auto &record : page.records) {
                 take(record);
-                m_next = record.offset + 1;
+                m_next = std::max(m_next, record.offset + 1);
             }
             scheduleNext(m_options.period);
         } catch (const shunt_error &error) {
--- a/test/log_follower_test.cpp
+++ b/test/log_follower_test.cpp
@@ -1,11 +1,15 @@
 // What an entry keeps of a topic of the platform's log, and what other entries can add to it.
 #include "gateway/log_follower.h"
 #include "gateway/peer_records.h"
+#include "loopback_server.h"
+#include "platform/adapter.h"
 #include "wisteriashunt/errors.h"
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <fcntl.h>
+#include <thread>
 #include <unistd.h>
 
 namespace wisteriashunt
@@ -76,6 +80,52 @@
     EXPECT_EQ(m_completions, 1);
 }
 
+TEST(log_follower_on_sockets_test, CountsOffsetsFromWhereItAskedWhenAPeerWasFaster)
+{
+    std::atomic<bool> hasOffered{false};
+    using namespace std::string_literals;
+    const auto withLength = [](const std::string &body) { return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body; };
+    testing::loopback_server server([&](const received_request &request) -> testing::scripted_answer {
+        if (request.target.find("newest") != std::string::npos) {
+            return {.parts = {withLength(R"({"items":[],"has_more":false,"end":0})")}};
+        }
+        if (request.target.find("from=0") == std::string::npos) {
+            return {.isSilent = true};
+        }
+        while (!hasOffered) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        const std::string offsets = "\0\0\0\0\0\0\0\x02\0\0\0\0\0\0\0\0"s;
+        return {.parts = {withLength(offsets + "\0\0\0\x03\x01"s + "a1" + "\0\0\0\x03\x01"s + "b2")}};
+    });
+    const boot_clock clock;
+    event_loop loop(clock);
+    const int sink = open("/dev/null", O_WRONLY | O_CLOEXEC);
+    event_log log(loop, {.descriptor = sink});
+    const auto dialect = platform::makeLogDialect();
+    std::vector<std::string> seen;
+    log_follower follower(
+        loop,
+        log,
+        dialect,
+        {.topic = "t", .log = {.ip = 0x7f000001, .port = server.port()}, .wait = std::chrono::seconds(30)},
+        {.onRecord = [&](const keyed_record &changed, record_timing) { seen.push_back(changed.key + "=" + changed.value.value_or("none")); }});
+    follower.start();
+    constexpr std::size_t newestAndFirstRead = 2;
+    repeat(loop, std::chrono::milliseconds(2), [&] {
+        if (server.requests().size() == newestAndFirstRead && !hasOffered) {
+            follower.offer({.next = 1, .records = {{.key = "a", .value = "1", .offset = 0}}});
+            hasOffered = true;
+        } else if (server.requests().size() > newestAndFirstRead) {
+            loop.stop();
+        }
+    });
+    loop.run();
+    EXPECT_EQ(seen, (std::vector<std::string>{"a=1", "b=2"}));
+    EXPECT_NE(server.requests().back().target.find("from=2"), std::string::npos) << server.requests().back().target;
+    close(sink);
+}
+
 TEST(keyed_snapshot_test, SurvivesEncodingAndRefusesOtherBytes)
 {
     const keyed_snapshot snapshot{.next = 12, .records = {{.key = "k", .value = "v", .offset = 3}}};
