Bound bodies in memory, note silent endpoints, split answers from the session

- Bodies of open requests take a quarter of the instance's memory at most; beyond it requests are refused with when to come back.
- An endpoint that has not answered for twice the target when its caller leaves or the time limit passes counts as failing: engines that hang while their health check is good had left no trace before.
- src/gateway/request_answers.cpp holds the answers; signals, JSON times and the log's milliseconds stand once; read buffers are one for each thread, since tests run two entries in one process; a setting that nothing used is gone; test ports come from below the ephemeral range.

Tests: gateway_test.RefusesRequestsBeyondTheMemoryForBodies.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -3,6 +3,7 @@
 #include "daemon/entry_daemon.h"
 #include "daemon/logging.h"
 #include "daemon/settings.h"
+#include "net/process_signals.h"
 #include "wisteriashunt/errors.h"
 
 #include <absl/flags/flag.h>
@@ -11,7 +12,6 @@
 #include <curl/curl.h>
 #include <easylogging++.h>
 
-#include <csignal>
 #include <iostream>
 
 ABSL_FLAG(std::string, config, "", "Path of the settings file (YAML).");
@@ -23,24 +23,11 @@
 constexpr int exitFailure = 1;
 constexpr int exitBadSettings = 2;
 
-volatile std::sig_atomic_t stopRequested = 0;
-volatile std::sig_atomic_t reloadRequested = 0;
-
-void onSignal(int signal)
-{
-    if (signal == SIGHUP) {
-        reloadRequested = 1;
-    } else {
-        stopRequested = 1;
-    }
-}
-
 std::optional<std::vector<wisteriashunt::peer_key>> takeReloadedKeys()
 {
-    if (reloadRequested == 0) {
+    if (!wisteriashunt::process_signals::takeReloadRequest()) {
         return std::nullopt;
     }
-    reloadRequested = 0;
     std::vector<wisteriashunt::fault> faults;
     const auto settings = wisteriashunt::loadSettings(absl::GetFlag(FLAGS_config), faults);
     if (!faults.empty()) {
@@ -53,7 +40,7 @@
 int serve(const wisteriashunt::daemon_settings &settings)
 {
     const wisteriashunt::anchored_clock clock;
-    const wisteriashunt::daemon_signals signals{.isStopRequested = [] { return stopRequested != 0; }, .takeReloadedKeys = takeReloadedKeys};
+    const wisteriashunt::daemon_signals signals{.isStopRequested = wisteriashunt::process_signals::isStopRequested, .takeReloadedKeys = takeReloadedKeys};
     if (settings.role == wisteriashunt::daemon_role::entry) {
         wisteriashunt::entry_daemon daemon(settings, clock);
         daemon.run(signals);
@@ -80,10 +67,7 @@
         std::cout << "settings are valid\n";
         return 0;
     }
-    std::signal(SIGTERM, onSignal);
-    std::signal(SIGINT, onSignal);
-    std::signal(SIGHUP, onSignal);
-    std::signal(SIGPIPE, SIG_IGN);
+    wisteriashunt::process_signals::install();
     curl_global_init(CURL_GLOBAL_DEFAULT);
     wisteriashunt::configureLogging(settings);
     try {
--- a/src/gateway/event_log.cpp
+++ b/src/gateway/event_log.cpp
@@ -6,6 +6,11 @@
 namespace wisteriashunt
 {
 
+std::string milliseconds(duration value)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
 event_log::event_log(event_loop &loop, const event_log_options &options)
     : m_loop(loop)
     , m_options(options)
--- a/src/gateway/event_log.h
+++ b/src/gateway/event_log.h
@@ -18,6 +18,9 @@
     std::string value;
 };
 
+/// A duration as a log field: whole milliseconds.
+[[nodiscard]] std::string milliseconds(duration value);
+
 /// Bounds of the log.
 struct event_log_options
 {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -31,6 +31,9 @@
 /// Where metrics are served, in the text format that collectors read.
 constexpr std::string_view metricsPath = "/metrics";
 
+/// Part of the instance's memory that bodies of open requests may take; answers and buffers need about as much again.
+constexpr std::size_t partOfMemoryForBodies = 4;
+
 caller_options callerOptions(const caller_limits &limits)
 {
     return {
@@ -59,7 +62,8 @@
                 .planner = m_planner,
                 .pool = m_pool,
                 .counters = m_counters,
-                .retryOptions = m_options.settings.retries}
+                .retryOptions = m_options.settings.retries,
+                .maxBodyBytes = m_options.settings.maxMemoryBytes / partOfMemoryForBodies}
     , m_declarations(m_loop,
                      m_log,
                      m_options.logDialect,
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -19,6 +19,9 @@
 namespace wisteriashunt
 {
 
+/// When to come back after a refusal that says nothing about load.
+inline constexpr std::chrono::milliseconds shortRetry{300};
+
 /// Shared state of an entry. Members are used from the event loop's thread only.
 struct gateway_context
 {
@@ -36,6 +39,9 @@
     waiting_line line;
     bool isLineScheduled = false;
     timer_id lineTimer = 0;
+    /// Bytes of the bodies of open requests, and how many there may be.
+    std::size_t bodyBytes = 0;
+    std::size_t maxBodyBytes = 0;
     /// Sessions that are not finished.
     std::size_t openSessions = 0;
     /// New requests are refused: too little of the grace period is left to serve them.
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -29,10 +29,9 @@
     duration gracePeriod = std::chrono::seconds(8);
     /// How long after SIGTERM requests are still taken: the balancer asks every second and needs two misses.
     duration acceptWhileLeaving = std::chrono::milliseconds(2400);
-    /// Time within which a declaration must be in force and a leaving endpoint must get no more work.
-    duration convergence = std::chrono::seconds(2);
     retry_allowance_options retries;
     std::size_t maxDescriptors = 1024;
+    /// Memory of the instance.
     std::size_t maxMemoryBytes = 256 * 1024 * 1024;
 
     bool operator==(const gateway_settings &) const = default;
--- a/src/gateway/log_follower.h
+++ b/src/gateway/log_follower.h
@@ -40,7 +40,7 @@
     soon_after_outage,
 };
 
-/// How long an endpoint whose entry was dropped is still used. An entry that lapsed in an outage is back within about two seconds of the
+/// How long an endpoint whose entry was dropped is still used. An entry that expired in an outage is back within about two seconds of the
 /// log's return if the endpoint lives. One that is dropped after the return may be a true removal, which must be in force two seconds after
 /// it was written: reading takes up to 0.8 s of these.
 [[nodiscard]] duration removalHold(record_timing timing);
--- /dev/null
+++ b/src/gateway/request_answers.cpp
@@ -0,0 +1,133 @@
+// The one answer of a request: forwarded, refused or cut.
+#include "gateway/request_session.h"
+
+#include <algorithm>
+#include <array>
+
+namespace wisteriashunt
+{
+
+namespace
+{
+
+/// Bytes that wait for a slow caller before its endpoint is read no further.
+constexpr std::size_t callerBacklogBytes = 64 * 1024;
+
+/// Statuses that promise a caller that the request did not run.
+bool promisesNotRun(int status)
+{
+    constexpr std::array promised{408, 421, 429, 503};
+    return std::find(promised.begin(), promised.end(), status) != promised.end();
+}
+
+} // namespace
+
+void request_session::notePace()
+{
+    const auto now = m_context.loop.now();
+    if (!m_hasForwarded) {
+        m_firstByteAfter = now - m_arrival;
+    } else {
+        m_longestPause = std::max(m_longestPause, now - m_lastByteAt);
+    }
+    m_lastByteAt = now;
+}
+
+void request_session::forwardEvents(std::string_view bytes)
+{
+    if (bytes.empty()) {
+        return;
+    }
+    notePace();
+    if (!m_hasForwarded) {
+        m_hasForwarded = true;
+        std::string head;
+        appendResponseHead(head, m_head.status, m_head.reason, endToEndHeaders(m_head.headers));
+        m_caller->beginStream(std::move(head));
+        m_caller->onDrained = [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (self != nullptr && self->m_exchange != nullptr) {
+                self->m_exchange->setReading(true);
+            }
+        };
+    }
+    m_caller->streamPart(bytes);
+    if (m_caller->pendingBytes() > callerBacklogBytes && m_exchange != nullptr) {
+        m_exchange->setReading(false);
+    }
+}
+
+void request_session::passOn()
+{
+    if (m_hasForwarded) {
+        cut("endpoint_failed");
+        return;
+    }
+    // The endpoint ran the request, so its answer must not carry a status that promises the opposite.
+    if (promisesNotRun(m_head.status)) {
+        refuse(error_kind::upstream_failed, shortRetry);
+        return;
+    }
+    notePace();
+    std::string head;
+    appendResponseHead(head, m_head.status, m_head.reason, endToEndHeaders(m_head.headers));
+    const auto caller = std::exchange(m_caller, nullptr);
+    finish(event_number::request_answered, std::to_string(m_head.status));
+    caller->answer(std::move(head), m_body);
+}
+
+void request_session::refuse(error_kind kind, duration retryAfter)
+{
+    const auto &answer = answerFor(kind);
+    std::string head;
+    appendResponseHead(head, answer.httpStatus, reasonPhrase(answer.httpStatus), {{"Content-Type", "application/json"}});
+    if (answer.retryLater && answer.ran == run_state::not_run) {
+        m_context.dialect.writeRetryAfter(head, retryAfter);
+    }
+    const std::string body =
+        "{\"error\":{\"type\":\"" + std::string(answer.name) + "\",\"ran\":\"" + (answer.ran == run_state::not_run ? "no" : "maybe") + "\"}}";
+    const auto caller = std::exchange(m_caller, nullptr);
+    finish(event_number::request_refused, std::string(answer.name));
+    if (caller != nullptr) {
+        caller->answer(std::move(head), body);
+    }
+}
+
+void request_session::cut(std::string_view reason)
+{
+    const auto caller = std::exchange(m_caller, nullptr);
+    finish(event_number::request_cut, std::string(reason));
+    if (caller != nullptr) {
+        caller->abort();
+    }
+}
+
+void request_session::finish(event_number event, const std::string &reason)
+{
+    if (m_isFinished) {
+        return;
+    }
+    m_isFinished = true;
+    leaveLine();
+    m_context.loop.cancel(m_timer);
+    const std::string className = m_route == nullptr ? "-" : m_route->name;
+    m_context.counters.count(event, className);
+    if (m_firstByteAfter > duration{}) {
+        m_context.counters.observeSeconds("first_byte_seconds", className, toSeconds(m_firstByteAfter));
+        m_context.counters.observeSeconds("longest_pause_seconds", className, toSeconds(m_longestPause));
+    }
+    m_context.log.write(event,
+                        {{"request", m_facts.attemptId},
+                         {"route", className},
+                         {"workspace", m_workspace.empty() ? "-" : m_workspace},
+                         {"rank", std::to_string(m_rank)},
+                         {"reason", reason},
+                         {"endpoint", m_placementRequest.excluded.empty() ? "-" : m_placementRequest.excluded.back()},
+                         {"attempts", std::to_string(m_sentAttempts)},
+                         {"first_ms", milliseconds(m_firstByteAfter)},
+                         {"pause_ms", milliseconds(m_longestPause)},
+                         {"ms", milliseconds(m_context.loop.now() - m_arrival)},
+                         {"version", m_table == nullptr ? "-" : std::to_string(m_table->version())}});
+}
+
+} // namespace wisteriashunt
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -15,12 +15,6 @@
 /// Time left below which another attempt cannot bring an answer.
 constexpr std::chrono::milliseconds leastAttemptTime{60};
 
-/// Bytes that wait for a slow caller before its endpoint is read no further.
-constexpr std::size_t callerBacklogBytes = 64 * 1024;
-
-/// When to come back after a failure that says nothing about load.
-constexpr std::chrono::milliseconds shortRetry{300};
-
 /// Priorities that engines know: 0 is the first, 9 the last.
 constexpr int lowestPriority = 9;
 
@@ -32,18 +26,6 @@
     return status < afterSuccess;
 }
 
-/// Statuses that promise a caller that the request did not run.
-bool promisesNotRun(int status)
-{
-    constexpr std::array promised{408, 421, 429, 503};
-    return std::find(promised.begin(), promised.end(), status) != promised.end();
-}
-
-std::string milliseconds(duration value)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
-}
-
 } // namespace
 
 request_session::request_session(gateway_context &context, std::shared_ptr<caller_connection> caller, received_request request)
@@ -53,11 +35,13 @@
     , m_arrival(context.loop.now())
 {
     ++m_context.openSessions;
+    m_context.bodyBytes += m_request.body.size();
 }
 
 request_session::~request_session()
 {
     --m_context.openSessions;
+    m_context.bodyBytes -= m_request.body.size();
 }
 
 std::optional<error_kind> request_session::admit()
@@ -69,6 +53,9 @@
     if (m_context.isClosing) {
         return error_kind::shutting_down;
     }
+    if (m_context.bodyBytes > m_context.maxBodyBytes) {
+        return error_kind::overloaded;
+    }
     m_facts = m_context.dialect.readRequest(m_request.headers);
     const auto *host = findHeader(m_request.headers, "host");
     m_route = host == nullptr ? nullptr : m_table->find(*host, m_request.target);
@@ -293,41 +280,6 @@
     }
 }
 
-void request_session::notePace()
-{
-    const auto now = m_context.loop.now();
-    if (!m_hasForwarded) {
-        m_firstByteAfter = now - m_arrival;
-    } else {
-        m_longestPause = std::max(m_longestPause, now - m_lastByteAt);
-    }
-    m_lastByteAt = now;
-}
-
-void request_session::forwardEvents(std::string_view bytes)
-{
-    if (bytes.empty()) {
-        return;
-    }
-    notePace();
-    if (!m_hasForwarded) {
-        m_hasForwarded = true;
-        std::string head;
-        appendResponseHead(head, m_head.status, m_head.reason, endToEndHeaders(m_head.headers));
-        m_caller->beginStream(std::move(head));
-        m_caller->onDrained = [weak = weak_from_this()] {
-            const auto self = weak.lock();
-            if (self != nullptr && self->m_exchange != nullptr) {
-                self->m_exchange->setReading(true);
-            }
-        };
-    }
-    m_caller->streamPart(bytes);
-    if (m_caller->pendingBytes() > callerBacklogBytes && m_exchange != nullptr) {
-        m_exchange->setReading(false);
-    }
-}
-
 void request_session::releaseEndpoint(endpoint_outcome outcome)
 {
     if (!m_placed) {
@@ -445,79 +397,6 @@
     }
 }
 
-void request_session::passOn()
-{
-    if (m_hasForwarded) {
-        cut("endpoint_failed");
-        return;
-    }
-    // The endpoint ran the request, so its answer must not carry a status that promises the opposite.
-    if (promisesNotRun(m_head.status)) {
-        refuse(error_kind::upstream_failed, shortRetry);
-        return;
-    }
-    notePace();
-    std::string head;
-    appendResponseHead(head, m_head.status, m_head.reason, endToEndHeaders(m_head.headers));
-    const auto caller = std::exchange(m_caller, nullptr);
-    finish(event_number::request_answered, std::to_string(m_head.status));
-    caller->answer(std::move(head), m_body);
-}
-
-void request_session::refuse(error_kind kind, duration retryAfter)
-{
-    const auto &answer = answerFor(kind);
-    std::string head;
-    appendResponseHead(head, answer.httpStatus, reasonPhrase(answer.httpStatus), {{"Content-Type", "application/json"}});
-    if (answer.retryLater && answer.ran == run_state::not_run) {
-        m_context.dialect.writeRetryAfter(head, retryAfter);
-    }
-    const std::string body =
-        "{\"error\":{\"type\":\"" + std::string(answer.name) + "\",\"ran\":\"" + (answer.ran == run_state::not_run ? "no" : "maybe") + "\"}}";
-    const auto caller = std::exchange(m_caller, nullptr);
-    finish(event_number::request_refused, std::string(answer.name));
-    if (caller != nullptr) {
-        caller->answer(std::move(head), body);
-    }
-}
-
-void request_session::cut(std::string_view reason)
-{
-    const auto caller = std::exchange(m_caller, nullptr);
-    finish(event_number::request_cut, std::string(reason));
-    if (caller != nullptr) {
-        caller->abort();
-    }
-}
-
-void request_session::finish(event_number event, const std::string &reason)
-{
-    if (m_isFinished) {
-        return;
-    }
-    m_isFinished = true;
-    leaveLine();
-    m_context.loop.cancel(m_timer);
-    const std::string className = m_route == nullptr ? "-" : m_route->name;
-    m_context.counters.count(event, className);
-    if (m_firstByteAfter > duration{}) {
-        m_context.counters.observeSeconds("first_byte_seconds", className, toSeconds(m_firstByteAfter));
-        m_context.counters.observeSeconds("longest_pause_seconds", className, toSeconds(m_longestPause));
-    }
-    m_context.log.write(event,
-                        {{"request", m_facts.attemptId},
-                         {"route", className},
-                         {"workspace", m_workspace.empty() ? "-" : m_workspace},
-                         {"rank", std::to_string(m_rank)},
-                         {"reason", reason},
-                         {"endpoint", m_placementRequest.excluded.empty() ? "-" : m_placementRequest.excluded.back()},
-                         {"attempts", std::to_string(m_sentAttempts)},
-                         {"first_ms", milliseconds(m_firstByteAfter)},
-                         {"pause_ms", milliseconds(m_longestPause)},
-                         {"ms", milliseconds(m_context.loop.now() - m_arrival)},
-                         {"version", m_table == nullptr ? "-" : std::to_string(m_table->version())}});
-}
-
 void request_session::dropAttempt()
 {
     if (!m_placed) {
@@ -530,6 +409,15 @@
     m_placed.reset();
 }
 
+void request_session::noteSilence()
+{
+    // A caller that leaves early says nothing about the endpoint; one that leaves after a long silence does.
+    constexpr std::chrono::milliseconds leastSilence{500};
+    if (m_placed && !m_hasFirstByte && m_context.loop.now() - m_sentAt > std::max<duration>(2 * m_route->firstByteTarget, leastSilence)) {
+        m_placed->endpoint->health.report(endpoint_outcome::broken, m_context.loop.now(), {});
+    }
+}
+
 void request_session::onCallerGone()
 {
     m_caller.reset();
@@ -537,6 +425,7 @@
     if (m_route != nullptr && m_route->kind == repeatability::at_most_once && m_placed) {
         return;
     }
+    noteSilence();
     dropAttempt();
     finish(event_number::request_cut, "caller_left");
 }
@@ -550,6 +439,7 @@
     if (m_placed && m_exchange != nullptr) {
         m_mayHaveRun = m_mayHaveRun || m_exchange->isConnected();
     }
+    noteSilence();
     dropAttempt();
     if (m_hasForwarded) {
         cut("timeout");
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -58,6 +58,8 @@
     void finish(event_number event, const std::string &reason);
     void releaseEndpoint(endpoint_outcome outcome);
     void dropAttempt();
+    /// Tells the health record of an endpoint that has not answered for long.
+    void noteSilence();
 
     [[nodiscard]] attempt_state state() const;
     [[nodiscard]] duration timeLeft() const;
--- a/src/net/byte_channel.cpp
+++ b/src/net/byte_channel.cpp
@@ -262,7 +262,8 @@
 
 void byte_channel::readAvailable()
 {
-    static std::array<char, readSize> buffer;
+    // One for all channels of a loop: hooks take what they keep before they return.
+    thread_local std::array<char, readSize> buffer;
     while (m_descriptor >= 0 && m_isReading) {
         const ssize_t count = recv(m_descriptor, buffer.data(), buffer.size(), 0);
         if (count > 0) {
--- a/src/net/datagram_socket.cpp
+++ b/src/net/datagram_socket.cpp
@@ -48,7 +48,7 @@
 
 void datagram_socket::onReady(std::uint32_t)
 {
-    static std::array<char, largestDatagram> buffer;
+    thread_local std::array<char, largestDatagram> buffer;
     while (true) {
         sockaddr_in from{};
         socklen_t size = sizeof from;
--- a/test/gateway_test.cpp
+++ b/test/gateway_test.cpp
@@ -76,6 +76,7 @@
         waitUntilReady(m_readinessPort);
     }
 
+    /// Settings of an entry on loopback; seed 0 names none.
     static std::string settingsOf(std::uint16_t callers, std::uint16_t readiness, std::uint16_t control, std::uint16_t log, std::uint16_t seed = 0)
     {
         const std::string local = "127.0.0.1:";
@@ -100,6 +101,7 @@
             auto settings = platform::parseSettings(text);
             settings.acceptWhileLeaving = {};
             settings.metricsAddress.reset();
+            settings.maxMemoryBytes = m_memoryBytes;
             gateway entry({.settings = settings,
                            .dialect = platform::makeWireDialect(),
                            .logDialect = platform::makeLogDialect(),
@@ -156,6 +158,7 @@
     std::uint16_t m_callerPort = 0;
     std::uint16_t m_readinessPort = 0;
     std::uint16_t m_controlPort = 0;
+    std::size_t m_memoryBytes = 260'000'000;
 
 private:
     scripted_answer serveLog(const received_request &request)
@@ -401,6 +404,15 @@
     EXPECT_TRUE(callOnceAt(callers, request("/book/1")).ends_with("served"));
 }
 
+TEST_F(gateway_test, RefusesRequestsBeyondTheMemoryForBodies)
+{
+    m_memoryBytes = 200'000;
+    start([](const received_request &got) { return ok(got, "served"); });
+    const auto refused = callOnce(request("/book/1", "", std::string(90'000, 'x')));
+    EXPECT_NE(refused.find("HTTP/1.1 429"), std::string::npos) << refused;
+    EXPECT_TRUE(callOnce(request("/book/1", "", std::string(40'000, 'x'))).ends_with("served"));
+}
+
 TEST_F(gateway_test, AnswersPipelinedRequestsInOrder)
 {
     start([](const received_request &got) { return ok(got, got.target); });
--- a/test/loopback_server.cpp
+++ b/test/loopback_server.cpp
@@ -217,10 +217,20 @@
 
 std::uint16_t freePort()
 {
-    const int descriptor = listenOnLoopback();
-    const auto port = portOf(descriptor);
-    ::close(descriptor);
-    return port;
+    // Below the range from which the kernel takes ports of outgoing connections, so that none of these can come in between.
+    static std::atomic<std::uint16_t> next{22000};
+    constexpr std::uint16_t last = 23000;
+    while (next < last) {
+        const std::uint16_t port = next++;
+        const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const auto address = loopback(port);
+        const bool isFree = bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
+        ::close(descriptor);
+        if (isFree) {
+            return port;
+        }
+    }
+    throw std::runtime_error("no free port of loopback");
 }
 
 } // namespace wisteriashunt::testing
