End calls for declarations well within the time to convergence

No entry heard of version 27 for 4 s, so no peer could tell the others.

Ruled out: a skipped record (all entries were late, not one).

Change: the wait is 0.65 of the declared time to convergence, 1.3 s on these sites. The new test asks what wait the entry sends: 4,000 ms before, at most 1,500 after.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,9 +24,9 @@
 /// get no more work.
 constexpr std::chrono::milliseconds endpointsPeriod{700};
 
-/// The log holds a call for new declarations this long. A connection that has gone silent is noticed after it; peers that have heard of
-/// newer declarations are asked long before.
-constexpr std::chrono::milliseconds declarationsWait{4000};
+/// Part of the time to convergence for which the log holds a call for new declarations. The log may not wake the call when there are new
+/// ones (it does not when it drops its history), so calls must end and be made again in time.
+constexpr double waitShareOfConvergence = 0.65;
 
 /// Where metrics are served, in the text format that collectors read.
 constexpr std::string_view metricsPath = "/metrics";
@@ -67,7 +67,9 @@
     , m_declarations(m_loop,
                      m_log,
                      m_options.logDialect,
-                     {.topic = m_options.decoders.declarationsTopic, .log = m_options.settings.log, .wait = declarationsWait},
+                     {.topic = m_options.decoders.declarationsTopic,
+                      .log = m_options.settings.log,
+                      .wait = fromSeconds(waitShareOfConvergence * toSeconds(m_options.settings.convergence))},
                      {.onRecord = [this](const keyed_record &record, record_timing) { onDeclarations(record); }})
     , m_endpoints(m_loop,
                   m_log,
--- a/test/gateway_test.cpp
+++ b/test/gateway_test.cpp
@@ -155,6 +155,7 @@
     }
 
     std::vector<std::unique_ptr<loopback_server>> m_endpoints;
+    loopback_server m_log{[this](const received_request &got) { return serveLog(got); }};
     std::uint16_t m_callerPort = 0;
     std::uint16_t m_readinessPort = 0;
     std::uint16_t m_controlPort = 0;
@@ -216,7 +217,6 @@
                 {"limits", {{"max_header_bytes", 4096}, {"max_body_bytes", 100000}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}}};
     }
 
-    loopback_server m_log{[this](const received_request &request) { return serveLog(request); }};
     std::atomic<bool> m_isStopRequested{false};
     std::vector<std::thread> m_threads;
 };
@@ -413,6 +413,24 @@
     EXPECT_TRUE(callOnce(request("/book/1", "", std::string(40'000, 'x'))).ends_with("served"));
 }
 
+TEST_F(gateway_test, AsksForDeclarationsOftenEnoughWithoutBeingWoken)
+{
+    start([](const received_request &got) { return ok(got, "served"); });
+    std::string asked;
+    while (asked.empty()) {
+        for (const auto &got : m_log.requests()) {
+            if (got.target.find("log-read") != std::string::npos && got.target.find("keyed.op") != std::string::npos) {
+                asked = got.target;
+            }
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    constexpr const char *field = "wait_ms=";
+    const auto wait = std::stoi(asked.substr(asked.find(field) + std::string(field).size()));
+    // Settings of these tests: in force within 2,000 ms. A log that drops its history does not wake the calls that wait.
+    EXPECT_LE(wait, 2000 - 500) << asked;
+}
+
 TEST_F(gateway_test, AnswersPipelinedRequestsInOrder)
 {
     start([](const received_request &got) { return ok(got, got.target); });
