Hand out no event twice when an endpoint begins a stream anew instead of resuming it

Cause: found in reading the change: the first event after a resume was trusted to follow the last one. An endpoint that ignores where to go on would have had its first events forwarded a second time, as part of one whole answer.

Change: after a resume the first event must have a larger number than the last one that was forwarded, or the stream is cut. An exchange that is given up from within one of its own hooks calls none of them any more.

Tests: event_splitter_test.HandsOutNoEventTwice..., gateway_test.CutsAStreamThatAnEndpointBeginsAnew....

--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -17,10 +17,28 @@
     }
     m_handedOut = end + separator.size();
     const std::string_view events(m_buffer.data(), m_handedOut);
+    if (m_mustFollow && repeatsEvents(events)) {
+        m_isOutOfOrder = true;
+        return {};
+    }
+    m_mustFollow.reset();
     noteNumbers(events);
     return events;
 }
 
+bool event_splitter::repeatsEvents(std::string_view events) const
+{
+    event_splitter firstOnly;
+    constexpr std::string_view separator = "\n\n";
+    firstOnly.noteNumbers(events.substr(0, events.find(separator) + separator.size()));
+    return firstOnly.lastEvent() && *firstOnly.lastEvent() <= *m_mustFollow;
+}
+
+bool event_splitter::isOutOfOrder() const
+{
+    return m_isOutOfOrder;
+}
+
 void event_splitter::noteNumbers(std::string_view events)
 {
     constexpr std::string_view field = "id:";
@@ -52,6 +70,7 @@
 {
     m_buffer.clear();
     m_handedOut = 0;
+    m_mustFollow = m_lastEvent;
 }
 
 bool event_splitter::hasPartial() const
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -19,18 +19,25 @@
     /// Number of the last whole event, if any had a number.
     [[nodiscard]] std::optional<std::int64_t> lastEvent() const;
 
-    /// Forgets the unfinished event; the next bytes come from another endpoint.
+    /// Forgets the unfinished event; the next bytes come from another endpoint, which must go on after the last whole event.
     void dropPartial();
 
+    /// The bytes after dropPartial() began with an event that had been handed out before; nothing of them was.
+    [[nodiscard]] bool isOutOfOrder() const;
+
     /// Bytes of an event that has not ended.
     [[nodiscard]] bool hasPartial() const;
 
 private:
     void noteNumbers(std::string_view events);
+    [[nodiscard]] bool repeatsEvents(std::string_view events) const;
 
     std::string m_buffer;
     std::size_t m_handedOut = 0;
     std::optional<std::int64_t> m_lastEvent;
+    /// The next event must have a larger number than this.
+    std::optional<std::int64_t> m_mustFollow;
+    bool m_isOutOfOrder = false;
 };
 
 } // namespace wisteriashunt
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -277,6 +277,10 @@
         m_body.append(bytes);
     } else if (m_caller != nullptr) {
         forwardEvents(m_route->isResumable ? m_events.feed(bytes) : bytes);
+        if (m_events.isOutOfOrder()) {
+            dropAttempt();
+            cut("resumed_out_of_order");
+        }
     }
 }
 
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -164,6 +164,9 @@
 
 void upstream_connection::onHead(http_response_head &head)
 {
+    if (!m_isBusy) {
+        return;
+    }
     m_idleTimeout = announcedIdleTimeout(head.headers);
     m_isReusable = head.keepsAlive && !m_hasSkipped;
     m_skipsResponse = !m_hooks.onHead(head);
@@ -172,6 +175,10 @@
 
 void upstream_connection::onComplete()
 {
+    // The exchange may have been given up from within one of its hooks, while the rest of the same bytes is still read.
+    if (!m_isBusy) {
+        return;
+    }
     if (m_skipsResponse) {
         m_skipsResponse = false;
         m_reader.reset();
@@ -205,6 +212,9 @@
 
 void upstream_connection::fail(exchange_failure failure, channel_end end)
 {
+    if (!m_isBusy) {
+        return;
+    }
     const auto self = shared_from_this();
     m_isBusy = false;
     m_isReusable = false;
--- a/test/gateway_test.cpp
+++ b/test/gateway_test.cpp
@@ -349,6 +349,21 @@
     EXPECT_TRUE(reply.ends_with("0\r\n\r\n")) << reply;
 }
 
+TEST_F(gateway_test, CutsAStreamThatAnEndpointBeginsAnewInsteadOfResuming)
+{
+    const auto serve = [](const received_request &got) {
+        const std::string head = okHead(got) + "Transfer-Encoding: chunked\r\n\r\n";
+        if (findHeader(got.headers, "last-event-id") == nullptr) {
+            return scripted_answer{.parts = {head + chunk(event(1)) + chunk(event(2))}, .closes = true};
+        }
+        return scripted_answer{.parts = {head + chunk(event(1)) + chunk(event(2)) + chunk(event(3)) + "0\r\n\r\n"}};
+    };
+    start(serve, serve);
+    const auto reply = callOnce(request("/draft/1"));
+    EXPECT_EQ(reply.find("id: 1"), reply.rfind("id: 1")) << "the first event comes once: " << reply;
+    EXPECT_FALSE(reply.ends_with("0\r\n\r\n")) << reply;
+}
+
 TEST_F(gateway_test, CutsAStreamThatMayNotBeResumed)
 {
     start([](const received_request &got) {
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -244,6 +244,16 @@
     EXPECT_FALSE(splitter.hasPartial());
     EXPECT_EQ(splitter.feed("id: 3\ndata: c\n\n"), "id: 3\ndata: c\n\n");
     EXPECT_EQ(splitter.lastEvent(), 3);
+    EXPECT_FALSE(splitter.isOutOfOrder());
+}
+
+TEST(event_splitter_test, HandsOutNoEventTwiceAfterAResume)
+{
+    event_splitter splitter;
+    EXPECT_FALSE(splitter.feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n").empty());
+    splitter.dropPartial();
+    EXPECT_EQ(splitter.feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"), "");
+    EXPECT_TRUE(splitter.isOutOfOrder());
 }
 
 } // namespace
