Drop the sessions of closed connections, and keep connections in one set

Found in reading the change: the entry's map from connection to session was cleaned only when a caller left with a request open, so every other closed connection left an entry and the storage of its last session behind. It is now erased when the connection ends.

The three copies of "take the ended connection out and retire it" (callers, probes, peers) are caller_set. A member that nothing used and a comment on a parameter that does not exist are gone. Nothing else changes.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -81,22 +81,14 @@
                        .onGone = [this](caller_connection &caller) { onGone(caller); },
                        .onEnd =
                            [this](caller_connection &caller) {
-                               const auto held = m_callers.extract(&caller);
-                               if (!held.empty()) {
-                                   m_loop.retire(held.mapped());
-                               }
+                               m_sessions.erase(&caller);
+                               m_callers.release(m_loop, caller);
                            },
                        .onFault = [this](const auto &caller, read_fault fault) { onFault(caller, fault); }}))
     , m_readinessHooks(std::make_shared<caller_hooks>(
           caller_hooks{.onRequest = [this](const auto &caller, received_request &&request) { onReadinessRequest(caller, request); },
                        .onGone = [](caller_connection &) {},
-                       .onEnd =
-                           [this](caller_connection &caller) {
-                               const auto held = m_readinessCallers.extract(&caller);
-                               if (!held.empty()) {
-                                   m_loop.retire(held.mapped());
-                               }
-                           },
+                       .onEnd = [this](caller_connection &caller) { m_readinessCallers.release(m_loop, caller); },
                        .onFault = [this](const auto &caller, read_fault fault) { onFault(caller, fault); }}))
 {
     m_roster.onLeft = [this](const endpoint_pointer &endpoint) {
@@ -125,7 +117,7 @@
 {
     const auto acceptProbe = [this](int descriptor) {
         const auto caller = caller_connection::adopt(m_loop, descriptor, {}, m_readinessHooks);
-        m_readinessCallers.emplace(caller.get(), caller);
+        m_readinessCallers.add(caller);
     };
     m_callerListener = std::make_unique<channel_listener>(m_loop, m_options.settings.callers, [this](int descriptor) { onCaller(descriptor); });
     m_readinessListener = std::make_unique<channel_listener>(m_loop, m_options.settings.readiness, acceptProbe);
@@ -169,7 +161,7 @@
 {
     m_counters.addGauge("open_requests", [this] { return static_cast<double>(m_context.openSessions); });
     m_counters.addGauge("waiting_requests", [this] { return static_cast<double>(m_context.line.size()); });
-    m_counters.addGauge("caller_connections", [this] { return static_cast<double>(m_callers.size()); });
+    m_counters.addGauge("caller_connections", [this] { return static_cast<double>(m_callers.all().size()); });
     m_counters.addGauge("endpoint_connections_opened", [this] { return static_cast<double>(m_pool.opened()); });
     m_counters.addGauge("endpoints_listed", [this] { return static_cast<double>(m_roster.size()); });
     m_counters.addGauge("live_entries", [this] { return static_cast<double>(m_planner.liveEntries(m_loop.now())); });
@@ -195,18 +187,18 @@
     makeRoom();
     const auto limits = m_context.table == nullptr ? caller_limits{} : m_context.table->declarations().limits;
     const auto caller = caller_connection::adopt(m_loop, descriptor, callerOptions(limits), m_callerHooks);
-    m_callers.emplace(caller.get(), caller);
+    m_callers.add(caller);
 }
 
 void gateway::makeRoom()
 {
     const std::size_t most = m_options.settings.maxDescriptors > 2 * reservedDescriptors ? m_options.settings.maxDescriptors - reservedDescriptors
                                                                                          : m_options.settings.maxDescriptors / 2;
-    if (m_callers.size() < most) {
+    if (m_callers.all().size() < most) {
         return;
     }
     std::shared_ptr<caller_connection> oldest;
-    for (const auto &[address, caller] : m_callers) {
+    for (const auto &[address, caller] : m_callers.all()) {
         if (caller->isIdle() && (oldest == nullptr || caller->lastActivity() < oldest->lastActivity())) {
             oldest = caller;
         }
@@ -355,7 +347,7 @@
 {
     const auto limits = m_context.table == nullptr ? caller_limits{} : m_context.table->declarations().limits;
     std::vector<std::shared_ptr<caller_connection>> stale;
-    for (const auto &[address, caller] : m_callers) {
+    for (const auto &[address, caller] : m_callers.all()) {
         const auto quiet = m_loop.now() - caller->lastActivity();
         if ((caller->isIdle() && quiet > limits.idleTimeout) || (caller->hasPartialRequest() && quiet > limits.headTimeout)) {
             stale.push_back(caller);
@@ -369,7 +361,7 @@
 void gateway::beginLeaving()
 {
     m_leavingSince = m_loop.now();
-    m_log.write(event_number::process_leaving, {{"open", std::to_string(m_context.openSessions)}, {"callers", std::to_string(m_callers.size())}});
+    m_log.write(event_number::process_leaving, {{"open", std::to_string(m_context.openSessions)}, {"callers", std::to_string(m_callers.all().size())}});
 }
 
 void gateway::continueLeaving()
@@ -379,7 +371,7 @@
         m_context.isClosing = true;
         m_callerListener->close();
         std::vector<std::shared_ptr<caller_connection>> idle;
-        for (const auto &[address, caller] : m_callers) {
+        for (const auto &[address, caller] : m_callers.all()) {
             if (caller->isIdle()) {
                 idle.push_back(caller);
             }
@@ -387,7 +379,7 @@
         for (const auto &caller : idle) {
             caller->closeWhenIdle();
         }
-        const bool isDone = m_context.openSessions == 0 && m_callers.empty();
+        const bool isDone = m_context.openSessions == 0 && m_callers.all().empty();
         if (isDone || since > m_options.settings.gracePeriod - leaveMargin) {
             m_loop.stop();
         }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -93,8 +93,8 @@
     std::unique_ptr<channel_listener> m_callerListener;
     std::unique_ptr<channel_listener> m_readinessListener;
     std::unique_ptr<channel_listener> m_metricsListener;
-    std::unordered_map<caller_connection *, std::shared_ptr<caller_connection>> m_callers;
-    std::unordered_map<caller_connection *, std::shared_ptr<caller_connection>> m_readinessCallers;
+    caller_set m_callers;
+    caller_set m_readinessCallers;
     std::unordered_map<caller_connection *, std::weak_ptr<request_session>> m_sessions;
     /// Endpoints whose entries were dropped around an outage of the log, and when they are taken for gone.
     std::map<std::string, time_point> m_missing;
--- a/src/gateway/peer_records.cpp
+++ b/src/gateway/peer_records.cpp
@@ -56,17 +56,11 @@
     , m_followers(std::move(followers))
     , m_hooks(std::make_shared<caller_hooks>(caller_hooks{.onRequest = [this](const auto &caller, received_request &&request) { serve(caller, request); },
                                                           .onGone = [](caller_connection &) {},
-                                                          .onEnd =
-                                                              [this](caller_connection &caller) {
-                                                                  const auto held = m_callers.extract(&caller);
-                                                                  if (!held.empty()) {
-                                                                      m_loop.retire(held.mapped());
-                                                                  }
-                                                              },
+                                                          .onEnd = [this](caller_connection &caller) { m_callers.release(m_loop, caller); },
                                                           .onFault = [](const auto &caller, read_fault) { caller->abort(); }}))
     , m_listener(std::make_unique<channel_listener>(loop, options.self, [this](int descriptor) {
         const auto caller = caller_connection::adopt(m_loop, descriptor, {}, m_hooks);
-        m_callers.emplace(caller.get(), caller);
+        m_callers.add(caller);
     }))
 {
 }
--- a/src/gateway/peer_records.h
+++ b/src/gateway/peer_records.h
@@ -11,7 +11,6 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace wisteriashunt
@@ -37,7 +36,7 @@
 class peer_records
 {
 public:
-    /// The followers must outlive this object. ahead says whether a peer has told of newer records of the topic.
+    /// The followers must outlive this object.
     peer_records(event_loop &loop, event_log &log, const peer_records_options &options, std::vector<log_follower *> followers);
     peer_records(const peer_records &) = delete;
     peer_records &operator=(const peer_records &) = delete;
@@ -68,7 +67,7 @@
     std::vector<log_follower *> m_followers;
     std::map<std::string, topic_state> m_topics;
     std::shared_ptr<const caller_hooks> m_hooks;
-    std::unordered_map<caller_connection *, std::shared_ptr<caller_connection>> m_callers;
+    caller_set m_callers;
     std::unique_ptr<channel_listener> m_listener;
     std::size_t m_turn = 0;
 };
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -222,4 +222,22 @@
     m_hooks->onEnd(*this);
 }
 
+void caller_set::add(const std::shared_ptr<caller_connection> &caller)
+{
+    m_connections.emplace(caller.get(), caller);
+}
+
+void caller_set::release(event_loop &loop, caller_connection &caller)
+{
+    const auto held = m_connections.extract(&caller);
+    if (!held.empty()) {
+        loop.retire(held.mapped());
+    }
+}
+
+const caller_set::connections &caller_set::all() const
+{
+    return m_connections;
+}
+
 } // namespace wisteriashunt
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <unordered_map>
 
 namespace wisteriashunt
 {
@@ -67,9 +68,6 @@
     /// Called when all written bytes have left.
     std::function<void()> onDrained = [] {};
 
-    /// Position in the owner's list, kept by the owner.
-    std::size_t slot = 0;
-
 private:
     caller_connection(event_loop &loop, const caller_options &options, std::shared_ptr<const caller_hooks> hooks);
 
@@ -91,4 +89,21 @@
     bool m_isHttp10 = false;
 };
 
+/// The open connections of one listener.
+class caller_set
+{
+public:
+    using connections = std::unordered_map<caller_connection *, std::shared_ptr<caller_connection>>;
+
+    void add(const std::shared_ptr<caller_connection> &caller);
+
+    /// For caller_hooks::onEnd: drops the connection once the current wake-up has ended.
+    void release(event_loop &loop, caller_connection &caller);
+
+    [[nodiscard]] const connections &all() const;
+
+private:
+    connections m_connections;
+};
+
 } // namespace wisteriashunt
