Send long prompts among short ones as far as the streams there bear it

Change: an engine that streams short answers takes a long prompt if no more than 9,000 tokens were sent there within the last 300 ms, which every entry tells the others with its loads; engines that left the group stay protected while six streams run. What is known of an endpoint is one struct now and is dropped 30 s after its last use.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -16,6 +16,13 @@
 constexpr double leastSlowness = 0.7;
 constexpr double mostSlowness = 6;
 
+/// Streams of short prompts from which an engine outside their group counts as one of it for long prompts: one that has just left the
+/// group still streams. Fewer are worth less than the place for a long prompt.
+constexpr int fewestProtected = 6;
+
+/// Advantage of an engine without short prompts' streams for a long prompt. Of 100, 200 and 500 ms, 200 served both sites best.
+constexpr double mixedMilliseconds = 200;
+
 /// Half-life of what has been learnt of an endpoint's slowness: one that gets no work must be tried again.
 constexpr double slownessHalfLifeSeconds = 2;
 
@@ -28,6 +35,12 @@
 /// Placements that one digest carries at most; more than a burst brings in a period.
 constexpr std::size_t placementsInDigest = 256;
 
+/// Tokens sent lately below which other entries are not told; two milliseconds of reading.
+constexpr std::int64_t leastRecentTokens = 100;
+
+/// Time after which nothing that was learnt of an endpoint is left: 15 half-lives of its slowness.
+constexpr std::chrono::seconds forgetAfter{30};
+
 /// Share of a service's endpoints that must be usable before failing ones are left out.
 constexpr double leastUsableShare = 0.5;
 
@@ -79,6 +92,7 @@
 endpoint_load placement_planner::loadOf(const std::string &endpointId, time_point now) const
 {
     endpoint_load sum;
+    double recent = 0;
     const auto add = [&sum](const endpoint_load &load) {
         sum.waiting += load.waiting;
         sum.waitingTokens += load.waitingTokens;
@@ -86,18 +100,26 @@
         sum.heavy += load.heavy;
         sum.heavyTokens += load.heavyTokens;
     };
-    if (const auto own = m_own.find(endpointId); own != m_own.end()) {
-        add(own->second);
+    if (const auto own = m_known.find(endpointId); own != m_known.end()) {
+        add(own->second.load);
+        recent += faded(own->second.recentTokens, now - own->second.recentAt);
     }
     for (const auto &[name, peer] : m_peers) {
         const auto load = peer.digest.endpoints.find(endpointId);
         if (now - peer.at < m_options.digestLifetime && load != peer.digest.endpoints.end()) {
             add(load->second);
+            recent += faded(static_cast<double>(load->second.recentTokens), now - peer.at);
         }
     }
+    sum.recentTokens = static_cast<std::int64_t>(recent);
     return sum;
 }
 
+double placement_planner::faded(double tokens, duration age) const
+{
+    return tokens * std::exp(-toSeconds(age) / toSeconds(m_options.readWindow));
+}
+
 std::size_t placement_planner::liveEntries(time_point now) const
 {
     return 1 + static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &peer) {
@@ -130,11 +152,11 @@
 
 double placement_planner::slownessOf(const std::string &endpointId, time_point now) const
 {
-    const auto known = m_slowness.find(endpointId);
-    if (known == m_slowness.end()) {
+    const auto known = m_known.find(endpointId);
+    if (known == m_known.end()) {
         return 1;
     }
-    return 1 + (known->second.factor - 1) * std::exp2(-toSeconds(now - known->second.at) / slownessHalfLifeSeconds);
+    return 1 + (known->second.slowness - 1) * std::exp2(-toSeconds(now - known->second.slownessAt) / slownessHalfLifeSeconds);
 }
 
 double placement_planner::millisecondsToRead(const std::string &endpointId, std::int64_t tokens, time_point now) const
@@ -272,43 +294,58 @@
         constexpr double mostMilliseconds = 20;
         return mostMilliseconds * static_cast<double>(mix(key ^ each.order)) / 18446744073709551615.0;
     };
+    const auto isFull = [this](const candidate &each) { return each.load.heavy > 0 && each.load.heavyTokens >= m_options.heavyTokensPerEndpoint; };
+    const auto isMixedAt = [&](std::size_t i) { return i < group || usable[i].load.light >= fewestProtected; };
+    bool areAllMixed = true;
+    for (std::size_t i = 0; i < usable.size(); ++i) {
+        areAllMixed = areAllMixed && isMixedAt(i);
+    }
     const candidate *best = nullptr;
     double bestCost = 0;
     std::int64_t bestUncached = 0;
-    double bestWait = 0;
-    const auto isFull = [this](const candidate &each) { return each.load.heavy > 0 && each.load.heavyTokens >= m_options.heavyTokensPerEndpoint; };
-    constexpr double fullMilliseconds = 3000;
-    for (std::size_t i = group; i < usable.size(); ++i) {
+    duration bestPredicted{};
+    duration soonest = duration::max();
+    for (std::size_t i = 0; i < usable.size(); ++i) {
         const auto &each = usable[i];
         const auto uncached = uncachedTokens(request, each, now);
+        const double readMilliseconds = millisecondsToRead(each.endpoint->record.id, uncached, now);
         const double wait = millisecondsToRead(each.endpoint->record.id, each.load.waitingTokens + uncached, now);
+        const auto predicted = fromMilliseconds(m_options.baseMilliseconds + wait);
+        soonest = std::min(soonest, predicted);
+        const bool isMixed = isMixedAt(i);
         const double slots = std::max(1, each.endpoint->record.slots);
+        // Where every engine streams short answers, the longest prompts would never go anywhere.
+        const auto counted = areAllMixed ? std::min(uncached, m_options.mixedTokens / 2) : uncached;
+        const bool stopsStreams = isMixed && (each.load.recentTokens + counted > m_options.mixedTokens || each.load.total() >= slots);
+        if (isFull(each) || stopsStreams || predicted > longestFirstByte(request, readMilliseconds)) {
+            continue;
+        }
         // A long prompt stops every stream of the engine while it is read in.
         constexpr double stoppedStreamMilliseconds = 60;
         // Reading shared parts again takes the engine's time from every prompt behind; so it counts beyond the wait of this one.
         constexpr double readingPrice = 2;
         constexpr double overfullMilliseconds = 3000;
-        const double cost = wait + readingPrice * millisecondsToRead(each.endpoint->record.id, uncached, now) + (isFull(each) ? fullMilliseconds : 0)
-            + tieBreak(each) + stoppedStreamMilliseconds * each.load.light + overfullMilliseconds * std::max(0.0, each.load.total() / slots - 1)
+        const double cost = wait + readingPrice * readMilliseconds + tieBreak(each)
+            + (isMixed ? mixedMilliseconds : stoppedStreamMilliseconds * each.load.light) + overfullMilliseconds * std::max(0.0, each.load.total() / slots - 1)
             + failurePenalty * 100 * each.endpoint->health.failureShare();
         if (best == nullptr || cost < bestCost) {
             best = &each;
             bestCost = cost;
             bestUncached = uncached;
-            bestWait = wait;
+            bestPredicted = predicted;
         }
     }
-    const auto predicted = fromMilliseconds(m_options.baseMilliseconds + bestWait);
-    if (isFull(*best) || predicted > longestFirstByte(request, millisecondsToRead(best->endpoint->record.id, bestUncached, now))) {
-        return {.refusal = placement_refusal::overloaded, .retryAfter = std::max(predicted, m_options.overloadRetry), .predictedFirstByte = predicted};
+    if (best == nullptr) {
+        return {.refusal = placement_refusal::overloaded, .retryAfter = std::max(soonest, m_options.overloadRetry), .predictedFirstByte = soonest};
     }
-    return {.chosen = {.endpoint = best->endpoint, .uncachedTokens = bestUncached, .isHeavy = true, .predictedFirstByte = predicted}};
+    return {.chosen = {.endpoint = best->endpoint, .uncachedTokens = bestUncached, .isHeavy = true, .predictedFirstByte = bestPredicted}};
 }
 
 void placement_planner::onSent(const placement_request &request, const placement &placed, time_point now)
 {
     const auto &id = placed.endpoint->record.id;
-    auto &load = m_own[id];
+    auto &known = m_known[id];
+    auto &load = known.load;
     ++load.waiting;
     load.waitingTokens += placed.uncachedTokens;
     ++(placed.isHeavy ? load.heavy : load.light);
@@ -316,6 +353,8 @@
     if (!request.hasPrompt) {
         return;
     }
+    known.recentTokens = faded(known.recentTokens, now - known.recentAt) + static_cast<double>(placed.uncachedTokens);
+    known.recentAt = now;
     if (!placed.isHeavy) {
         auto &service = m_services[request.service];
         decayRate(service, now);
@@ -342,21 +381,22 @@
 
 void placement_planner::onFirstByte(const placement &placed, duration sinceSent, time_point now)
 {
-    auto &load = m_own[placed.endpoint->record.id];
-    --load.waiting;
-    load.waitingTokens -= placed.uncachedTokens;
+    const auto &id = placed.endpoint->record.id;
+    auto &known = m_known[id];
+    --known.load.waiting;
+    known.load.waitingTokens -= placed.uncachedTokens;
     if (placed.predictedFirstByte == duration{}) {
         return;
     }
-    const auto &id = placed.endpoint->record.id;
     const double ratio = std::clamp(toSeconds(sinceSent) / toSeconds(placed.predictedFirstByte), leastSlowness, mostSlowness);
     const double factor = slownessOf(id, now) * (1 + slownessSmoothing * (ratio - 1));
-    m_slowness[id] = {.factor = std::clamp(factor, leastSlowness, mostSlowness), .at = now};
+    known.slowness = std::clamp(factor, leastSlowness, mostSlowness);
+    known.slownessAt = now;
 }
 
 void placement_planner::onFinished(const placement &placed, bool hadFirstByte)
 {
-    auto &load = m_own[placed.endpoint->record.id];
+    auto &load = m_known[placed.endpoint->record.id].load;
     if (!hadFirstByte) {
         --load.waiting;
         load.waitingTokens -= placed.uncachedTokens;
@@ -367,8 +407,16 @@
 
 load_digest placement_planner::digest(time_point now)
 {
+    // Endpoints come and go; one that has no work and of which nothing is known any more needs no memory.
+    std::erase_if(m_known, [&](const auto &each) {
+        const auto &known = each.second;
+        return known.load == endpoint_load{} && now - std::max(known.recentAt, known.slownessAt) > forgetAfter;
+    });
     load_digest made;
-    for (const auto &[id, load] : m_own) {
+    for (const auto &[id, known] : m_known) {
+        auto load = known.load;
+        const auto recent = static_cast<std::int64_t>(faded(known.recentTokens, now - known.recentAt));
+        load.recentTokens = recent < leastRecentTokens ? 0 : recent;
         if (load != endpoint_load{}) {
             made.endpoints[id] = load;
         }
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -2,7 +2,8 @@
 ///
 /// The load that the choice answers: long prompts whose shared parts engines keep in limited memory, next to short prompts whose
 /// streams must not pause. A long prompt that is read in stops every stream of its engine, so short prompts are gathered on a part of
-/// the engines that follows their demand, and long prompts go to the others, each to the engine that keeps its shared parts.
+/// the engines that follows their demand, and long prompts go to the others, each to the engine that keeps its shared parts. Long prompts
+/// also go among short ones, where these have taken most engines, but no faster than the streams there bear.
 #pragma once
 
 #include "gateway/wire_dialect.h"
@@ -33,6 +34,8 @@
     int heavy = 0;
     /// Prompt tokens that these had to read in, or still have to.
     std::int64_t heavyTokens = 0;
+    /// Tokens of prompts, long or short, that were sent there lately; fades with placement_options::readWindow.
+    std::int64_t recentTokens = 0;
 
     [[nodiscard]] int total() const
     {
@@ -73,9 +76,15 @@
     double tokensPerMillisecond = 45;
     /// Time to a first event beside reading the prompt.
     double baseMilliseconds = 30;
-    /// Prompt tokens of all long prompts under way at one engine, a second of reading. Reading one after the other leaves no steps for the
+    /// Prompt tokens of all long prompts under way at one engine, 1.3 s of reading. Reading one after the other leaves no steps for the
     /// streams that have begun: with more than this, more end late or not at all than are gained.
-    std::int64_t heavyTokensPerEndpoint = 50000;
+    std::int64_t heavyTokensPerEndpoint = 60000;
+    /// Prompt tokens that may be sent within readWindow to an engine that streams answers to short prompts, if a long prompt is among them.
+    /// They are read between the steps of one event, which must come within 300 ms: 27 ms of steps and 9,000 tokens at 45 tokens/ms, with a
+    /// quarter left for engines that are slower than others.
+    std::int64_t mixedTokens = 9000;
+    /// Time with which tokens sent lately fade; about the pause that a stream of a short prompt bears.
+    duration readWindow = std::chrono::milliseconds(300);
     /// Share of the slots that short-prompt requests fill before they take another engine.
     double lightFill = 0.8;
     /// Share of an engine's time that may go into reading short prompts before they take another engine.
@@ -163,10 +172,26 @@
 
     /// Load of an endpoint over all entries.
     [[nodiscard]] endpoint_load loadOf(const std::string &endpointId, time_point now) const;
+    /// Endpoints of which something is remembered.
+    [[nodiscard]] std::size_t knownEndpoints() const
+    {
+        return m_known.size();
+    }
     /// Number of engines of the service that short prompts are gathered on.
     [[nodiscard]] std::size_t lightGroupSize(const std::string &service, time_point now);
 
 private:
+    /// Own work at an endpoint and what it has taught. The load's own recentTokens stays 0.
+    struct endpoint_memory
+    {
+        endpoint_load load;
+        /// Tokens sent lately, as of a time.
+        double recentTokens = 0;
+        time_point recentAt;
+        /// How much longer first bytes take than predicted.
+        double slowness = 1;
+        time_point slownessAt;
+    };
     struct peer_state
     {
         load_digest digest;
@@ -197,20 +222,14 @@
     [[nodiscard]] double slownessOf(const std::string &endpointId, time_point now) const;
     void rememberPart(std::uint64_t part, const std::string &endpointId, time_point now);
     void decayRate(service_state &service, time_point now) const;
+    [[nodiscard]] double faded(double tokens, duration age) const;
 
     const endpoint_roster &m_roster;
     std::string m_availabilityZone;
     placement_options m_options;
-    std::unordered_map<std::string, endpoint_load> m_own;
+    std::unordered_map<std::string, endpoint_memory> m_known;
     std::map<std::string, peer_state> m_peers;
     std::unordered_map<std::string, service_state> m_services;
-    /// How much longer first bytes take than predicted.
-    struct slowness
-    {
-        double factor = 1;
-        time_point at;
-    };
-    std::unordered_map<std::string, slowness> m_slowness;
     std::vector<part_placement> m_newPlacements;
     /// Last use of a prompt part, by endpoint.
     std::unordered_map<std::uint64_t, std::unordered_map<std::string, time_point>> m_parts;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -13,9 +13,9 @@
 {
 
 /// Format of the message; a receiver that does not know it drops the message.
-constexpr int formatVersion = 1;
+constexpr int formatVersion = 2;
 
-using packed_load = std::tuple<std::string, int, std::int64_t, int, int, std::int64_t>;
+using packed_load = std::tuple<std::string, int, std::int64_t, int, int, std::int64_t, std::int64_t>;
 using packed_rate = std::tuple<std::string, double>;
 using packed_address = std::tuple<std::uint32_t, std::uint16_t>;
 using packed_placement = std::tuple<std::uint64_t, std::string>;
@@ -28,7 +28,7 @@
 {
     std::vector<packed_load> loads;
     for (const auto &[id, load] : message.load.endpoints) {
-        loads.emplace_back(id, load.waiting, load.waitingTokens, load.light, load.heavy, load.heavyTokens);
+        loads.emplace_back(id, load.waiting, load.waitingTokens, load.light, load.heavy, load.heavyTokens, load.recentTokens);
     }
     const std::vector<packed_rate> rates(message.load.lightTokensPerSecond.begin(), message.load.lightTokensPerSecond.end());
     std::vector<packed_placement> placements;
@@ -53,8 +53,8 @@
             throw shunt_error(error_kind::malformed_frame, "unknown format " + std::to_string(format));
         }
         peer_message message{.declarationsVersion = version, .isLeaving = isLeaving};
-        for (const auto &[id, waiting, tokens, light, heavy, heavyTokens] : loads) {
-            message.load.endpoints[id] = {.waiting = waiting, .waitingTokens = tokens, .light = light, .heavy = heavy, .heavyTokens = heavyTokens};
+        for (const auto &[id, waiting, tokens, light, heavy, heavyTokens, recentTokens] : loads) {
+            message.load.endpoints[id] = {.waiting = waiting, .waitingTokens = tokens, .light = light, .heavy = heavy, .heavyTokens = heavyTokens, .recentTokens = recentTokens};
         }
         for (const auto &[service, rate] : rates) {
             message.load.lightTokensPerSecond[service] = rate;
