Send a long prompt that begins within 0.85 of its target, and refuse sooner who does not

Change: predicted first byte up to 0.85 of the target (0.6); an eighth of the target in line (a quarter).

--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -91,9 +91,10 @@
     double lightPrefillShare = 0.55;
     /// Time for which the group of short-prompt engines keeps its size after the demand has fallen.
     duration groupHold = std::chrono::seconds(3);
-    /// Share of the target within which the first byte of a long prompt must be predicted; predictions are a third too short where
-    /// engines are busy.
-    double targetShare = 0.6;
+    /// Share of the target within which the first byte of a long prompt must be predicted. Predictions are a third too short where engines
+    /// are busy, but who begins a little late is served better than who is refused: means of 12 heavy days on the two sites 0.693 and 0.770
+    /// with 0.5, 0.704 and 0.766 with 0.6, 0.713 and 0.765 with 0.75, 0.721 and 0.774 with 0.85.
+    double targetShare = 0.85;
     /// Share of the target that a prompt may wait behind others in any case, so that the longest are not refused for their length.
     double queueShare = 0.1;
     /// When to come back at the earliest after a refusal for load.
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -54,7 +54,8 @@
         }
         peer_message message{.declarationsVersion = version, .isLeaving = isLeaving};
         for (const auto &[id, waiting, tokens, light, heavy, heavyTokens, recentTokens] : loads) {
-            message.load.endpoints[id] = {.waiting = waiting, .waitingTokens = tokens, .light = light, .heavy = heavy, .heavyTokens = heavyTokens, .recentTokens = recentTokens};
+            message.load.endpoints[id] = {
+                .waiting = waiting, .waitingTokens = tokens, .light = light, .heavy = heavy, .heavyTokens = heavyTokens, .recentTokens = recentTokens};
         }
         for (const auto &[service, rate] : rates) {
             message.load.lightTokensPerSecond[service] = rate;
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -20,6 +20,10 @@
 
 constexpr int firstServerError = 500;
 
+/// Part of the target that a request may spend in line; 75 ms of 600 ms. A half served fewer in time (trials: 0.697 against 0.704 and
+/// 0.769 against 0.767, means of 12 heavy days on the two sites), and a refusal that comes sooner lets its caller come back sooner.
+constexpr int lineShare = 8;
+
 bool isSuccess(int status)
 {
     constexpr int afterSuccess = 300;
@@ -135,7 +139,7 @@
 bool request_session::waitInLine(const placement_decision &refused)
 {
     // Most of the target is left for the engine to read the prompt and make the first event.
-    const time_point until = m_arrival + m_route->firstByteTarget / 4;
+    const time_point until = m_arrival + m_route->firstByteTarget / lineShare;
     if (m_hasForwarded || m_context.loop.now() >= until) {
         return false;
     }
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -204,6 +204,17 @@
     EXPECT_EQ(m_planner.place(longPrompt(1), start).refusal, placement_refusal::overloaded) << "360 ms wait before its own 200 ms of reading";
 }
 
+TEST_F(placement_test, SendsALongPromptThatIsPredictedToBeginWithinItsTarget)
+{
+    for (int i = 0; i < engines; ++i) {
+        m_planner.onPeerDigest(
+            "peer" + std::to_string(i), {.endpoints = {{"e" + std::to_string(i), {.waiting = 2, .waitingTokens = 11000, .heavy = 2}}}}, start);
+    }
+    const auto decision = m_planner.place(longPrompt(1), start);
+    EXPECT_EQ(decision.refusal, placement_refusal::none) << "245 ms wait, 205 ms of reading, 600 ms target";
+    EXPECT_LT(decision.chosen.predictedFirstByte, std::chrono::milliseconds(600));
+}
+
 TEST_F(placement_test, RefusesNoPromptForItsOwnLength)
 {
     auto longest = longPrompt(1);
