End the hold of a removed endpoint before the entry counts as in touch with the log

The log had refused the entry until 0.1 s after it; the entry noticed the return up to 0.8 s later and held what the first answer dropped for 2.5 s, 3.3 s in all, where it counts as in touch after 3. Ruled out: a removal that was not read (it was, at the first answer); entries served all along acted within 0.8 s. Change: the list is tried every 0.4 s at the longest while the log does not answer, and the hold is 2.25 s. What entries that were served all along know could end a hold sooner; open.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -71,11 +71,12 @@
                       .log = m_options.settings.log,
                       .wait = fromSeconds(waitShareOfConvergence * toSeconds(m_options.settings.convergence))},
                      {.onRecord = [this](const keyed_record &record, record_timing) { onDeclarations(record); }})
-    , m_endpoints(m_loop,
-                  m_log,
-                  m_options.logDialect,
-                  {.topic = m_options.decoders.endpointsTopic, .log = m_options.settings.log, .period = endpointsPeriod},
-                  {.onRecord = [this](const keyed_record &record, record_timing timing) { onEndpointRecord(record, timing); }})
+    , m_endpoints(
+          m_loop,
+          m_log,
+          m_options.logDialect,
+          {.topic = m_options.decoders.endpointsTopic, .log = m_options.settings.log, .period = endpointsPeriod, .longestBackoff = endpointsLongestBackoff},
+          {.onRecord = [this](const keyed_record &record, record_timing timing) { onEndpointRecord(record, timing); }})
     , m_callerHooks(std::make_shared<caller_hooks>(
           caller_hooks{.onRequest = [this](const auto &caller, received_request &&request) { onRequest(caller, std::move(request)); },
                        .onGone = [this](caller_connection &caller) { onGone(caller); },
--- a/src/gateway/log_follower.cpp
+++ b/src/gateway/log_follower.cpp
@@ -24,7 +24,7 @@
     case record_timing::steady:
         return {};
     case record_timing::first_after_outage:
-        return std::chrono::milliseconds(2500);
+        return std::chrono::milliseconds(2250);
     case record_timing::soon_after_outage:
         return std::chrono::milliseconds(900);
     }
--- a/src/gateway/log_follower.h
+++ b/src/gateway/log_follower.h
@@ -45,6 +45,9 @@
 /// it was written: reading takes up to 0.8 s of these.
 [[nodiscard]] duration removalHold(record_timing timing);
 
+/// Longest pause between two attempts to read the list of endpoints while the log does not answer.
+inline constexpr std::chrono::milliseconds endpointsLongestBackoff{400};
+
 /// Receivers of what the topic says.
 struct follower_hooks
 {
