Soak real entry processes: planned ends cut nothing, faults break no promise

Change: test/entry_standins (the log with topics, offsets and waiting reads; settings; declarations) serves gateway_test and a soak of three real entry processes, three endpoints behind proxies that cut or silence their links, and twelve callers. Entries are ended in turn under load, then killed, frozen, cut from the log and from endpoints, and an endpoint leaves. Promises are checked from what callers got and endpoints ran: an operation runs once, what was said not to have run did not, streams are in order, nothing that ran is cut by a planned end. Fails first: with an entry that stops at SIGTERM the check of planned ends fails (tried, reverted).

--- /dev/null
+++ b/test/entry_soak_test.cpp
@@ -0,0 +1,397 @@
+// Real entry processes under load, with planned ends, kills, freezes and cut links. What was promised is checked from what callers got and
+// what endpoints ran.
+#include "entry_standins.h"
+#include "fault_proxy.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <random>
+#include <set>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace wisteriashunt::testing
+{
+namespace
+{
+
+constexpr int entries = 3;
+constexpr int endpoints = 3;
+constexpr int callers = 12;
+constexpr int eventsInStream = 12;
+constexpr std::string_view lastChunk = "0\r\n\r\n";
+
+/// What endpoints ran, by attempt.
+class run_ledger
+{
+public:
+    void note(const std::string &attempt)
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_runs[attempt];
+    }
+    [[nodiscard]] int runsOf(const std::string &attempt) const
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_runs.find(attempt);
+        return found == m_runs.end() ? 0 : found->second;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<std::string, int> m_runs;
+};
+
+/// One request and what its caller got.
+struct outcome
+{
+    std::string attempt;
+    std::string kind;
+    std::string answer;
+    int entry = 0;
+    bool isPlanned = false;
+
+    [[nodiscard]] int status() const
+    {
+        constexpr std::size_t statusBegin = 9;
+        constexpr std::size_t statusSize = 3;
+        return answer.size() < statusBegin + statusSize ? 0 : std::stoi(answer.substr(statusBegin, statusSize));
+    }
+    [[nodiscard]] bool isStream() const
+    {
+        return kind == "talk" || kind == "draft";
+    }
+    [[nodiscard]] std::string body() const
+    {
+        const auto head = answer.find("\r\n\r\n");
+        return head == std::string::npos ? "" : answer.substr(head + 4);
+    }
+    [[nodiscard]] bool isWhole() const
+    {
+        if (isStream() && status() == 200) {
+            return answer.ends_with(lastChunk);
+        }
+        const auto length = answer.find("Content-Length: ");
+        return length != std::string::npos && body().size() == std::stoul(answer.substr(length + 16));
+    }
+};
+
+std::string eventOf(const std::string &attempt, int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: " + attempt + "\n\n";
+}
+
+class entry_soak_test : public ::testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        m_directory = std::filesystem::temp_directory_path() / ("entry_soak_" + std::to_string(getpid()));
+        std::filesystem::create_directories(m_directory);
+        for (int i = 0; i < endpoints; ++i) {
+            m_servers.push_back(std::make_unique<loopback_server>([this](const received_request &got) { return serve(got); }));
+            m_links.push_back(std::make_unique<fault_proxy>(m_servers.back()->port()));
+            m_log.putEndpoint("e" + std::to_string(i), m_links.back()->port());
+        }
+        for (int i = 0; i < entries; ++i) {
+            std::ofstream(settingsPath(i)) << settingsForTests(m_ports[i], m_logLink.port(), {m_ports[0].control, m_ports[1].control});
+            launch(i);
+        }
+        waitUntil([this] { return allReady(); });
+        m_threads.emplace_back([this] { balance(); });
+        for (int i = 0; i < callers; ++i) {
+            m_threads.emplace_back([this, i] { callInTurn(i); });
+        }
+    }
+
+    void TearDown() override
+    {
+        stopCallers();
+        for (const auto process : m_processes) {
+            if (process > 0) {
+                kill(process, SIGKILL);
+                waitpid(process, nullptr, 0);
+            }
+        }
+        std::filesystem::remove_all(m_directory);
+    }
+
+    void stopCallers()
+    {
+        m_isStopping = true;
+        for (auto &thread : m_threads) {
+            thread.join();
+        }
+        m_threads.clear();
+    }
+
+    [[nodiscard]] std::string settingsPath(int entry) const
+    {
+        return (m_directory / ("entry-" + std::to_string(entry) + ".json")).string();
+    }
+
+    void launch(int entry)
+    {
+        std::string program = SHUNT_ENTRY;
+        std::string variable = "WISTERIASHUNT_BOOT=" + settingsPath(entry);
+        std::array<char *, 2> arguments{program.data(), nullptr};
+        std::array<char *, 2> environment{variable.data(), nullptr};
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        const auto log = settingsPath(entry) + ".log";
+        posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+        ASSERT_EQ(posix_spawn(&m_processes[entry], program.c_str(), &actions, nullptr, arguments.data(), environment.data()), 0);
+        posix_spawn_file_actions_destroy(&actions);
+    }
+
+    /// Waits for the end of an entry; returns its exit status, or minus the signal that ended it.
+    int waitForEnd(int entry)
+    {
+        int status = 0;
+        waitpid(m_processes[entry], &status, 0);
+        m_processes[entry] = 0;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    }
+
+    /// The limit of the test as a whole ends a wait that never does.
+    static void waitUntil(const std::function<bool()> &condition)
+    {
+        while (!condition()) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+    }
+
+    [[nodiscard]] bool allReady() const
+    {
+        return std::all_of(m_ports.begin(), m_ports.end(), [](const entry_ports &ports) { return readinessAt(ports.readiness) == 200; });
+    }
+
+    static void rest(int milliseconds)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
+    }
+
+    [[nodiscard]] std::vector<outcome> outcomes() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_outcomes;
+    }
+
+    std::filesystem::path m_directory;
+    log_standin m_log;
+    fault_proxy m_logLink{m_log.port()};
+    run_ledger m_ledger;
+    std::vector<std::unique_ptr<loopback_server>> m_servers;
+    std::vector<std::unique_ptr<fault_proxy>> m_links;
+    std::array<entry_ports, entries> m_ports;
+    std::array<pid_t, entries> m_processes{};
+    std::atomic<bool> m_isPlanned{true};
+
+private:
+    /// As the platform's balancer: an entry that twice does not say that it is ready gets no new connection.
+    void balance()
+    {
+        std::array<int, entries> misses{};
+        while (!m_isStopping) {
+            for (int i = 0; i < entries; ++i) {
+                misses[i] = readinessAt(m_ports[i].readiness) == 200 ? 0 : misses[i] + 1;
+                m_isInRotation[i] = misses[i] < 2;
+            }
+            rest(100);
+        }
+    }
+
+    scripted_answer serve(const received_request &got)
+    {
+        const auto attempt = attemptOf(got);
+        constexpr int oneRejectedOf = 20;
+        if (!m_isPlanned && ++m_served % oneRejectedOf == 0) {
+            return {.parts = {withLength("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n", "")}};
+        }
+        m_ledger.note(attempt);
+        if (got.target.starts_with("/read/") || got.target.starts_with("/book/")) {
+            rest(5);
+            return ok(got, attempt);
+        }
+        const auto *after = findHeader(got.headers, "last-event-id");
+        scripted_answer stream{.parts = {okHead(got) + "Transfer-Encoding: chunked\r\n\r\n"}, .pause = std::chrono::milliseconds(8)};
+        for (int number = after == nullptr ? 1 : std::stoi(*after) + 1; number <= eventsInStream; ++number) {
+            stream.parts.push_back(chunk(eventOf(attempt, number)));
+        }
+        stream.parts.emplace_back(lastChunk);
+        return stream;
+    }
+
+    void callInTurn(int number)
+    {
+        constexpr int longestKept = 20;
+        constexpr std::array kinds{"read", "book", "talk", "draft"};
+        std::mt19937 random(static_cast<unsigned>(20261204 + number));
+        int made = 0;
+        while (!m_isStopping) {
+            const int entry = static_cast<int>(random() % entries);
+            if (!m_isInRotation[entry]) {
+                rest(5);
+                continue;
+            }
+            try {
+                raw_caller caller(m_ports[entry].callers);
+                bool isOpen = true;
+                for (int i = 0; i < longestKept && isOpen && !m_isStopping; ++i) {
+                    outcome result{.attempt = "c" + std::to_string(number) + "-" + std::to_string(++made),
+                                   .kind = kinds[random() % kinds.size()],
+                                   .entry = entry,
+                                   .isPlanned = m_isPlanned};
+                    caller.send("POST /" + result.kind + "/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + result.attempt
+                                + "\r\nX-Deadline-Ms: 3000\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n");
+                    result.answer = caller.readAnswer();
+                    // What was cut by the first unplanned fault is not held against a planned end.
+                    result.isPlanned = result.isPlanned && m_isPlanned;
+                    isOpen = result.isWhole() && result.answer.find("Connection: close") == std::string::npos;
+                    const std::lock_guard lock(m_mutex);
+                    m_outcomes.push_back(std::move(result));
+                }
+            } catch (const std::runtime_error &) {
+                rest(5);
+            }
+        }
+    }
+
+    std::array<std::atomic<bool>, entries> m_isInRotation{};
+    std::atomic<bool> m_isStopping{false};
+    std::atomic<int> m_served{0};
+    mutable std::mutex m_mutex;
+    std::vector<outcome> m_outcomes;
+    std::vector<std::thread> m_threads;
+};
+
+void expectPromisesKept(const outcome &got, const run_ledger &ledger)
+{
+    const std::set<int> notRun{408, 421, 429, 503};
+    const int runs = ledger.runsOf(got.attempt);
+    const auto what = got.kind + " " + got.attempt + " at entry " + std::to_string(got.entry) + ", status " + std::to_string(got.status());
+    if (got.kind == "book" || got.kind == "talk") {
+        EXPECT_LE(runs, 1) << what << " may run once";
+        EXPECT_TRUE(!notRun.contains(got.status()) || runs == 0) << what << " was said not to have run and ran " << runs << " times";
+    }
+    if (got.status() != 200) {
+        return;
+    }
+    if (!got.isStream()) {
+        EXPECT_TRUE(!got.isWhole() || got.body() == got.attempt) << what << " got " << got.body();
+        return;
+    }
+    std::string expected;
+    const auto body = got.body();
+    int number = 1;
+    while (number <= eventsInStream && body.size() > expected.size()) {
+        expected += chunk(eventOf(got.attempt, number++));
+    }
+    expected += got.isWhole() ? lastChunk : "";
+    EXPECT_TRUE(expected.starts_with(body)) << what << " got other events than its own in order: " << body;
+    EXPECT_TRUE(!got.isWhole() || number == eventsInStream + 1) << what << " ended after event " << number - 1;
+}
+
+TEST_F(entry_soak_test, PlannedEndsCutNothingAndFaultsBreakNoPromise)
+{
+    for (int entry = 0; entry < entries; ++entry) {
+        kill(m_processes[entry], SIGTERM);
+        EXPECT_EQ(waitForEnd(entry), 0) << "entry " << entry;
+        launch(entry);
+        waitUntil([this] { return allReady(); });
+    }
+    m_isPlanned = false;
+
+    std::vector<std::function<void()>> faults{
+        [this] {
+            kill(m_processes[0], SIGKILL);
+            EXPECT_EQ(waitForEnd(0), -SIGKILL);
+            rest(300);
+            launch(0);
+        },
+        [this] {
+            kill(m_processes[1], SIGSTOP);
+            rest(1500);
+            kill(m_processes[1], SIGCONT);
+        },
+        [this] {
+            m_links[0]->set(link_state::reset);
+            rest(700);
+            m_links[0]->set(link_state::up);
+        },
+        [this] {
+            m_links[1]->set(link_state::silent);
+            rest(1500);
+            m_links[1]->set(link_state::up);
+        },
+        [this] {
+            m_logLink.set(link_state::reset);
+            rest(1500);
+            m_logLink.set(link_state::up);
+        },
+        [this] {
+            m_logLink.set(link_state::silent);
+            kill(m_processes[2], SIGKILL);
+            EXPECT_EQ(waitForEnd(2), -SIGKILL);
+            launch(2);
+            rest(1500);
+            m_logLink.set(link_state::up);
+        },
+        [this] {
+            m_log.putEndpoint("e2", m_links[2]->port(), "draining");
+            rest(800);
+            m_log.dropEndpoint("e2");
+            rest(800);
+            m_log.putEndpoint("e3", m_links[2]->port());
+        },
+    };
+    std::mt19937 random(20261204);
+    std::shuffle(faults.begin(), faults.end(), random);
+    for (const auto &fault : faults) {
+        fault();
+        rest(400);
+    }
+    waitUntil([this] { return allReady(); });
+    const auto before = outcomes().size();
+    waitUntil([this, before] {
+        const auto all = outcomes();
+        std::set<int> served;
+        for (auto i = before; i < all.size(); ++i) {
+            if (all[i].status() == 200 && all[i].isWhole()) {
+                served.insert(all[i].entry);
+            }
+        }
+        return served.size() == entries;
+    });
+    stopCallers();
+
+    const auto all = outcomes();
+    std::map<int, int> byStatus;
+    int cut = 0;
+    for (const auto &got : all) {
+        ++byStatus[got.isWhole() ? got.status() : 0];
+        cut += got.isWhole() ? 0 : 1;
+        expectPromisesKept(got, m_ledger);
+        if (got.isPlanned) {
+            EXPECT_TRUE(got.isWhole() || m_ledger.runsOf(got.attempt) == 0)
+                << got.kind << " " << got.attempt << " ran and was cut by the planned end of an entry (entry " << got.entry << "): " << got.answer;
+            EXPECT_TRUE(!got.isWhole() || got.status() == 200 || got.status() == 429 || got.status() == 503) << got.answer;
+        }
+    }
+    for (const auto &[status, count] : byStatus) {
+        RecordProperty("status_" + std::to_string(status), count);
+        std::cout << (status == 0 ? "cut" : std::to_string(status)) << ": " << count << '\n';
+    }
+    EXPECT_GT(byStatus[200], cut) << "of " << all.size() << " requests";
+}
+
+} // namespace
+} // namespace wisteriashunt::testing
--- /dev/null
+++ b/test/entry_standins.cpp
@@ -0,0 +1,240 @@
+#include "entry_standins.h"
+
+#include <absl/strings/escaping.h>
+
+#include <algorithm>
+#include <set>
+#include <stdexcept>
+
+namespace wisteriashunt::testing
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr const char *declarationsTopic = "keyed.op";
+constexpr const char *endpointsTopic = "keyed.servers";
+
+std::string bigEndian(std::uint64_t value, int bytes)
+{
+    std::string out;
+    for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8) {
+        out.push_back(static_cast<char>((value >> static_cast<unsigned>(shift)) & 0xffU));
+    }
+    return out;
+}
+
+/// The value of a field of the query; empty if there is none.
+std::string queryField(const std::string &target, const std::string &name)
+{
+    auto begin = target.find('?');
+    while (begin != std::string::npos) {
+        const auto end = std::min(target.find('&', begin + 1), target.size());
+        const auto field = target.substr(begin + 1, end - begin - 1);
+        if (field.compare(0, name.size() + 1, name + "=") == 0) {
+            return field.substr(name.size() + 1);
+        }
+        begin = end == target.size() ? std::string::npos : end;
+    }
+    return {};
+}
+
+std::size_t numberField(const std::string &target, const std::string &name)
+{
+    const auto text = queryField(target, name);
+    return text.empty() ? 0 : std::stoul(text);
+}
+
+} // namespace
+
+log_standin::log_standin()
+    : m_server([this](const received_request &got) { return serve(got); })
+{
+    put(declarationsTopic, "config", declarationsForTests().dump());
+}
+
+log_standin::~log_standin()
+{
+    m_isStopping = true;
+}
+
+void log_standin::put(const std::string &topic, const std::string &key, const std::optional<std::string> &value)
+{
+    const std::lock_guard lock(m_mutex);
+    m_topics[topic].push_back({.key = key, .value = value});
+}
+
+void log_standin::putEndpoint(const std::string &id, std::uint16_t port, const std::string &state)
+{
+    const json entry{{"service", "s"},
+                     {"address", "127.0.0.1:" + std::to_string(port)},
+                     {"zone", "z"},
+                     {"slots", 4},
+                     {"state", state},
+                     {"born", 1},
+                     {"sequence", ++m_sequence}};
+    put(endpointsTopic, id, entry.dump());
+}
+
+void log_standin::dropEndpoint(const std::string &id)
+{
+    put(endpointsTopic, id, std::nullopt);
+}
+
+std::uint16_t log_standin::port() const
+{
+    return m_server.port();
+}
+
+std::vector<received_request> log_standin::requests() const
+{
+    return m_server.requests();
+}
+
+std::size_t log_standin::endOf(const std::string &topic) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto records = m_topics.find(topic);
+    return records == m_topics.end() ? 0 : records->second.size();
+}
+
+scripted_answer log_standin::serve(const received_request &request)
+{
+    constexpr std::chrono::milliseconds step{10};
+    const auto topic = queryField(request.target, "topic");
+    if (request.target.find("log-newest") != std::string::npos) {
+        return {.parts = {withLength("HTTP/1.1 200 OK\r\n", newest(topic))}};
+    }
+    const auto from = numberField(request.target, "from");
+    const std::chrono::milliseconds wait(numberField(request.target, "wait_ms"));
+    for (std::chrono::milliseconds waited{0}; waited < wait && endOf(topic) <= from && !m_isStopping; waited += step) {
+        std::this_thread::sleep_for(step);
+    }
+    return {.parts = {withLength("HTTP/1.1 200 OK\r\n", recordsFrom(topic, from))}};
+}
+
+std::string log_standin::newest(const std::string &topic) const
+{
+    const std::lock_guard lock(m_mutex);
+    json items = json::array();
+    std::set<std::string> seen;
+    const auto found = m_topics.find(topic);
+    const std::vector<appended> none;
+    const auto &records = found == m_topics.end() ? none : found->second;
+    for (std::size_t offset = records.size(); offset-- > 0;) {
+        const auto &record = records[offset];
+        if (seen.insert(record.key).second && record.value) {
+            items.push_back({{"key", record.key}, {"value", absl::Base64Escape(*record.value)}, {"offset", offset}});
+        }
+    }
+    return json{{"items", items}, {"has_more", false}, {"end", records.size()}}.dump();
+}
+
+std::string log_standin::recordsFrom(const std::string &topic, std::size_t from) const
+{
+    constexpr int wide = 8;
+    constexpr int narrow = 4;
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_topics.find(topic);
+    const std::vector<appended> none;
+    const auto &records = found == m_topics.end() ? none : found->second;
+    std::string out = bigEndian(records.size(), wide) + bigEndian(0, wide);
+    for (std::size_t offset = from; offset < records.size(); ++offset) {
+        const auto &record = records[offset];
+        const std::string content = bigEndian(record.key.size(), 1) + record.key + record.value.value_or("");
+        out += bigEndian(content.size(), narrow) + content;
+    }
+    return out;
+}
+
+json declarationsForTests()
+{
+    const auto route = [](const std::string &prefix, const std::string &kind, int attempts, bool resumable, int timeout) {
+        return json{{"name", kind},
+                    {"host", "h.example"},
+                    {"path_prefix", prefix},
+                    {"kind", kind},
+                    {"service", "s"},
+                    {"max_attempts", attempts},
+                    {"resumable", resumable},
+                    {"timeout_ms", timeout},
+                    {"target_latency_ms", 300},
+                    {"priority", 0},
+                    {"public", false}};
+    };
+    return {{"version", 1},
+            {"routes",
+             {route("/read/", "safe", 2, false, 3000),
+              route("/book/", "unsafe", 2, false, 3000),
+              route("/short/", "unsafe", 2, false, 300),
+              route("/talk/", "stream", 1, false, 5000),
+              route("/draft/", "stream", 2, true, 5000)}},
+            {"services", {{{"name", "s"}, {"max_conns", 50}}}},
+            {"tenants", {{{"name", "north"}, {"api_keys", {"key-1"}}, {"priority", 1}}}},
+            {"limits", {{"max_header_bytes", 4096}, {"max_body_bytes", 100000}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}}};
+}
+
+std::string settingsForTests(const entry_ports &ports, std::uint16_t log, const std::vector<std::uint16_t> &seeds)
+{
+    const std::string local = "127.0.0.1:";
+    json settings{
+        {"node_name", "entry"},
+        {"zone", "z"},
+        {"listen",
+         {{"front", local + std::to_string(ports.callers)},
+          {"ready", local + std::to_string(ports.readiness)},
+          {"control", local + std::to_string(ports.control)}}},
+        {"limits", {{"memory_mb", 260}, {"max_fds", 4200}}},
+        {"bounds", {{"grace_period_s", 8}, {"config_converge_ms", 2000}, {"retry_budget_ratio", 0.2}, {"retry_budget_slack", 52}, {"budget_window_s", 10}}},
+        {"platform", {{"address", local + std::to_string(log)}}}};
+    for (const auto seed : seeds) {
+        settings["seed_addrs"].push_back(local + std::to_string(seed));
+    }
+    return settings.dump();
+}
+
+int readinessAt(std::uint16_t port)
+{
+    constexpr std::size_t statusEnd = 12;
+    constexpr std::size_t statusBegin = 9;
+    try {
+        raw_caller caller(port);
+        caller.send("GET /wisteriashunt/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        const auto reply = caller.readAll();
+        return reply.size() < statusEnd ? 0 : std::stoi(reply.substr(statusBegin, statusEnd - statusBegin));
+    } catch (const std::runtime_error &) {
+        return 0;
+    }
+}
+
+std::string withLength(const std::string &head, const std::string &body)
+{
+    return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string attemptOf(const received_request &request)
+{
+    const auto *id = findHeader(request.headers, "x-attempt-id");
+    return id == nullptr ? "" : *id;
+}
+
+std::string okHead(const received_request &request)
+{
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attemptOf(request) + "\r\nX-Server-Seal: seal-1\r\n";
+}
+
+scripted_answer ok(const received_request &request, const std::string &body)
+{
+    return {.parts = {withLength(okHead(request), body)}};
+}
+
+std::string chunk(const std::string &data)
+{
+    std::string out;
+    appendChunk(out, data);
+    return out;
+}
+
+} // namespace wisteriashunt::testing
--- a/test/gateway_test.cpp
+++ b/test/gateway_test.cpp
@@ -1,12 +1,9 @@
 // The whole path of an entry on real sockets: callers, endpoints and the platform's log, each as a test writes them.
+#include "entry_standins.h"
 #include "gateway/gateway.h"
-#include "loopback_server.h"
 #include "platform/adapter.h"
 
 #include <gtest/gtest.h>
-#include <nlohmann/json.hpp>
-
-#include <absl/strings/escaping.h>
 
 #include <thread>
 
@@ -15,36 +12,6 @@
 namespace
 {
 
-using nlohmann::json;
-
-std::string withLength(const std::string &head, const std::string &body)
-{
-    return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-std::string attemptOf(const received_request &request)
-{
-    const auto *id = findHeader(request.headers, "x-attempt-id");
-    return id == nullptr ? "" : *id;
-}
-
-std::string okHead(const received_request &request)
-{
-    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attemptOf(request) + "\r\nX-Server-Seal: seal-1\r\n";
-}
-
-scripted_answer ok(const received_request &request, const std::string &body)
-{
-    return {.parts = {withLength(okHead(request), body)}};
-}
-
-std::string chunk(const std::string &data)
-{
-    std::string out;
-    appendChunk(out, data);
-    return out;
-}
-
 std::string event(int number)
 {
     return "id: " + std::to_string(number) + "\ndata: piece\n\n";
@@ -69,29 +36,12 @@
         if (second) {
             m_endpoints.push_back(std::make_unique<loopback_server>(second));
         }
-        m_callerPort = freePort();
-        m_readinessPort = freePort();
-        m_controlPort = freePort();
-        launch(settingsOf(m_callerPort, m_readinessPort, m_controlPort, m_log.port()));
-        waitUntilReady(m_readinessPort);
-    }
-
-    /// Settings of an entry on loopback; seed 0 names none.
-    static std::string settingsOf(std::uint16_t callers, std::uint16_t readiness, std::uint16_t control, std::uint16_t log, std::uint16_t seed = 0)
-    {
-        const std::string local = "127.0.0.1:";
-        json settings{
-            {"node_name", "entry"},
-            {"zone", "z"},
-            {"listen",
-             {{"front", local + std::to_string(callers)}, {"ready", local + std::to_string(readiness)}, {"control", local + std::to_string(control)}}},
-            {"limits", {{"memory_mb", 260}, {"max_fds", 4200}}},
-            {"bounds", {{"grace_period_s", 8}, {"config_converge_ms", 2000}, {"retry_budget_ratio", 0.2}, {"retry_budget_slack", 52}, {"budget_window_s", 10}}},
-            {"platform", {{"address", local + std::to_string(log)}}}};
-        if (seed != 0) {
-            settings["seed_addrs"] = {local + std::to_string(seed)};
+        for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+            m_log.putEndpoint("e" + std::to_string(i), m_endpoints[i]->port());
         }
-        return settings.dump();
+        m_log.put("keyed.servers", "broken", "{\"service\":5}");
+        launch(settingsForTests(m_ports, m_log.port()));
+        waitUntilReady(m_ports.readiness);
     }
 
     void launch(const std::string &text)
@@ -116,23 +66,11 @@
 
     static void waitUntilReady(std::uint16_t port)
     {
-        while (readiness(port) != 200) {
+        while (readinessAt(port) != 200) {
             std::this_thread::sleep_for(std::chrono::milliseconds(10));
         }
     }
 
-    static int readiness(std::uint16_t port)
-    {
-        try {
-            raw_caller caller(port);
-            caller.send("GET /wisteriashunt/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-            const auto reply = caller.readAll();
-            return reply.size() < 12 ? 0 : std::stoi(reply.substr(9, 3));
-        } catch (const std::runtime_error &) {
-            return 0;
-        }
-    }
-
     static std::string request(const std::string &path, const std::string &fields = "", const std::string &body = "", const std::string &key = "key-1")
     {
         return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\nX-Deadline-Ms: 5000\r\nAuthorization: Bearer " + key + "\r\n" + fields
@@ -142,7 +80,7 @@
     /// The whole answer to one request on a connection of its own.
     std::string callOnce(std::string bytes) const
     {
-        return callOnceAt(m_callerPort, std::move(bytes));
+        return callOnceAt(m_ports.callers, std::move(bytes));
     }
 
     static std::string callOnceAt(std::uint16_t port, std::string bytes)
@@ -155,68 +93,11 @@
     }
 
     std::vector<std::unique_ptr<loopback_server>> m_endpoints;
-    loopback_server m_log{[this](const received_request &got) { return serveLog(got); }};
-    std::uint16_t m_callerPort = 0;
-    std::uint16_t m_readinessPort = 0;
-    std::uint16_t m_controlPort = 0;
+    log_standin m_log;
+    entry_ports m_ports;
     std::size_t m_memoryBytes = 260'000'000;
 
 private:
-    scripted_answer serveLog(const received_request &request)
-    {
-        if (request.target.find("log-read") != std::string::npos) {
-            std::this_thread::sleep_for(std::chrono::milliseconds(100));
-            return {.parts = {withLength("HTTP/1.1 200 OK\r\n", std::string(16, '\0'))}};
-        }
-        json items = json::array();
-        const auto add = [&items](const std::string &key, const json &value) {
-            items.push_back({{"key", key}, {"value", absl::Base64Escape(value.dump())}, {"offset", items.size()}});
-        };
-        if (request.target.find("keyed.op") != std::string::npos) {
-            add("config", declarations());
-        } else {
-            for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
-                add("e" + std::to_string(i),
-                    {{"service", "s"},
-                     {"address", "127.0.0.1:" + std::to_string(m_endpoints[i]->port())},
-                     {"zone", i == 0 ? "z" : "y"},
-                     {"slots", 4},
-                     {"state", "ready"},
-                     {"born", 1},
-                     {"sequence", 1}});
-            }
-            items.push_back({{"key", "broken"}, {"value", absl::Base64Escape("{\"service\":5}")}, {"offset", items.size()}});
-        }
-        return {.parts = {withLength("HTTP/1.1 200 OK\r\n", json{{"items", items}, {"has_more", false}, {"end", 0}}.dump())}};
-    }
-
-    static json declarations()
-    {
-        const auto route = [](const std::string &prefix, const std::string &kind, int attempts, bool resumable, int timeout) {
-            return json{{"name", kind},
-                        {"host", "h.example"},
-                        {"path_prefix", prefix},
-                        {"kind", kind},
-                        {"service", "s"},
-                        {"max_attempts", attempts},
-                        {"resumable", resumable},
-                        {"timeout_ms", timeout},
-                        {"target_latency_ms", 300},
-                        {"priority", 0},
-                        {"public", false}};
-        };
-        return {{"version", 1},
-                {"routes",
-                 {route("/read/", "safe", 2, false, 3000),
-                  route("/book/", "unsafe", 2, false, 3000),
-                  route("/short/", "unsafe", 2, false, 300),
-                  route("/talk/", "stream", 1, false, 5000),
-                  route("/draft/", "stream", 2, true, 5000)}},
-                {"services", {{{"name", "s"}, {"max_conns", 50}}}},
-                {"tenants", {{{"name", "north"}, {"api_keys", {"key-1"}}, {"priority", 1}}}},
-                {"limits", {{"max_header_bytes", 4096}, {"max_body_bytes", 100000}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}}};
-    }
-
     std::atomic<bool> m_isStopRequested{false};
     std::vector<std::thread> m_threads;
 };
@@ -378,7 +259,7 @@
 TEST_F(gateway_test, EndsTheEndpointsWorkWhenTheCallerLeaves)
 {
     start([](const received_request &) { return scripted_answer{.isSilent = true}; });
-    raw_caller caller(m_callerPort);
+    raw_caller caller(m_ports.callers);
     caller.send(request("/talk/1"));
     while (m_endpoints[0]->requests().empty()) {
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
@@ -400,7 +281,7 @@
 {
     start([](const received_request &got) { return ok(got, "body"); });
     callOnce(request("/book/1"));
-    raw_caller collector(m_readinessPort);
+    raw_caller collector(m_ports.readiness);
     collector.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
     const auto page = collector.readAll();
     EXPECT_NE(page.find("wisteriashunt_events_total{event=\"request_answered\",class=\"unsafe\"} 1"), std::string::npos) << page;
@@ -411,12 +292,11 @@
 TEST_F(gateway_test, AnEntryThatTheLogRefusesLearnsFromAnother)
 {
     start([](const received_request &got) { return ok(got, "served"); });
-    const auto callers = freePort();
-    const auto readiness = freePort();
+    const entry_ports ports;
     const auto closedLog = freePort();
-    launch(settingsOf(callers, readiness, freePort(), closedLog, m_controlPort));
-    waitUntilReady(readiness);
-    EXPECT_TRUE(callOnceAt(callers, request("/book/1")).ends_with("served"));
+    launch(settingsForTests(ports, closedLog, {m_ports.control}));
+    waitUntilReady(ports.readiness);
+    EXPECT_TRUE(callOnceAt(ports.callers, request("/book/1")).ends_with("served"));
 }
 
 TEST_F(gateway_test, RefusesRequestsBeyondTheMemoryForBodies)
@@ -449,7 +329,7 @@
 TEST_F(gateway_test, AnswersPipelinedRequestsInOrder)
 {
     start([](const received_request &got) { return ok(got, got.target); });
-    raw_caller caller(m_callerPort);
+    raw_caller caller(m_ports.callers);
     caller.send(request("/book/1") + request("/book/2"));
     const auto replies = caller.readUntil("/book/2");
     EXPECT_LT(replies.find("/book/1"), replies.find("/book/2")) << replies;
--- a/test/loopback_server.cpp
+++ b/test/loopback_server.cpp
@@ -25,6 +25,8 @@
     return address;
 }
 
+} // namespace
+
 std::uint16_t portOf(int descriptor)
 {
     sockaddr_in address{};
@@ -44,7 +46,16 @@
     return descriptor;
 }
 
-} // namespace
+int connectToLoopback(std::uint16_t port)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const auto address = loopback(port);
+    if (::connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0) {
+        ::close(descriptor);
+        return -1;
+    }
+    return descriptor;
+}
 
 loopback_server::loopback_server(handler handle)
     : m_handle(std::move(handle))
@@ -170,11 +181,9 @@
 }
 
 raw_caller::raw_caller(std::uint16_t port)
-    : m_descriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    : m_descriptor(connectToLoopback(port))
 {
-    const auto address = loopback(port);
-    if (::connect(m_descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0) {
-        ::close(m_descriptor);
+    if (m_descriptor < 0) {
         throw std::runtime_error("cannot connect to port " + std::to_string(port));
     }
 }
@@ -191,14 +200,7 @@
 
 std::string raw_caller::readUntil(const std::string &text)
 {
-    std::array<char, 65536> buffer{};
-    while (text.empty() || m_read.find(text) == std::string::npos) {
-        const ssize_t count = recv(m_descriptor, buffer.data(), buffer.size(), 0);
-        if (count <= 0) {
-            break;
-        }
-        m_read.append(buffer.data(), static_cast<std::size_t>(count));
-    }
+    while ((text.empty() || m_read.find(text) == std::string::npos) && readMore()) { }
     return m_read;
 }
 
@@ -207,6 +209,38 @@
     return readUntil("");
 }
 
+std::string raw_caller::readAnswer()
+{
+    constexpr std::string_view headEnd = "\r\n\r\n";
+    constexpr std::string_view lengthField = "Content-Length: ";
+    constexpr std::string_view lastChunk = "0\r\n\r\n";
+    readUntil(std::string(headEnd));
+    const auto head = m_read.find(headEnd);
+    auto end = head == std::string::npos ? m_read.size() : head + headEnd.size();
+    const auto length = m_read.find(lengthField);
+    if (head != std::string::npos && length < head) {
+        const auto size = end + std::stoul(m_read.substr(length + lengthField.size()));
+        while (m_read.size() < size && readMore()) { }
+        end = std::min(size, m_read.size());
+    } else if (head != std::string::npos) {
+        readUntil(std::string(lastChunk));
+        end = std::min(m_read.size(), m_read.find(lastChunk) == std::string::npos ? m_read.size() : m_read.find(lastChunk) + lastChunk.size());
+    }
+    auto answer = m_read.substr(0, end);
+    m_read.erase(0, end);
+    return answer;
+}
+
+bool raw_caller::readMore()
+{
+    std::array<char, 65536> buffer{};
+    const ssize_t count = recv(m_descriptor, buffer.data(), buffer.size(), 0);
+    if (count > 0) {
+        m_read.append(buffer.data(), static_cast<std::size_t>(count));
+    }
+    return count > 0;
+}
+
 void raw_caller::close()
 {
     if (m_descriptor >= 0) {
--- a/test/loopback_server.h
+++ b/test/loopback_server.h
@@ -74,13 +74,25 @@
     std::string readUntil(const std::string &text);
     /// Reads to the end of the connection.
     std::string readAll();
+    /// Reads one answer with a length or in chunks and keeps what follows. An answer that is cut is returned as far as it came.
+    std::string readAnswer();
     void close();
 
 private:
+    /// Returns false if the connection has ended.
+    bool readMore();
+
     int m_descriptor;
     std::string m_read;
 };
 
+/// Descriptor of a listener on a free port of loopback.
+[[nodiscard]] int listenOnLoopback();
+/// The port to which a listener is bound.
+[[nodiscard]] std::uint16_t portOf(int descriptor);
+/// Descriptor of a connection to a port of loopback; negative if none could be made.
+[[nodiscard]] int connectToLoopback(std::uint16_t port);
+
 /// A port of loopback that was free a moment ago.
 [[nodiscard]] std::uint16_t freePort();
 
