Let the soak's faults meet operations that are under way

Cause: a trial that repeats operations after a lost answer passed the soak: a link was cut once, and an operation took 5 ms. Change: ten short cuts over three links, 30 ms an operation.

--- a/test/entry_soak_test.cpp
+++ b/test/entry_soak_test.cpp
@@ -218,7 +218,8 @@
         }
         m_ledger.note(attempt);
         if (got.target.starts_with("/read/") || got.target.starts_with("/book/")) {
-            rest(5);
+            // As long as a third of a stream, so that faults meet operations too.
+            rest(30);
             return ok(got, attempt);
         }
         const auto *after = findHeader(got.headers, "last-event-id");
@@ -323,9 +324,15 @@
             kill(m_processes[1], SIGCONT);
         },
         [this] {
-            m_links[0]->set(link_state::reset);
-            rest(700);
-            m_links[0]->set(link_state::up);
+            // Many short cuts, so that some meet operations that are under way.
+            constexpr int cuts = 10;
+            for (int i = 0; i < cuts; ++i) {
+                auto &link = *m_links[static_cast<std::size_t>(i) % m_links.size()];
+                link.set(link_state::reset);
+                rest(50);
+                link.set(link_state::up);
+                rest(100);
+            }
         },
         [this] {
             m_links[1]->set(link_state::silent);
