--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -24,8 +24,12 @@
 /// Advantage of an engine without short prompts' streams for a long prompt. Of 100, 200 and 500 ms, 200 served both sites best.
 constexpr double mixedMilliseconds = 200;
 
-/// An engine that keeps all shared parts of a prompt may have this much more under way, as reading them elsewhere takes more time than it spares.
-constexpr double keeperAllowance = 1.5;
+/// An engine that keeps all shared parts of a prompt may have this much more under way, as reading them elsewhere takes more time than it
+/// spares.
+constexpr double keeperAllowance = 2;
+
+/// And its first byte may be predicted this much later. Where all engines are busy, reading parts again delays more prompts than this one.
+constexpr double keeperPatience = 1.6;
 
 /// Half-life of what has been learnt of an endpoint's slowness: one that gets no work must be tried again.
 constexpr double slownessHalfLifeSeconds = 2;
@@ -299,11 +303,11 @@
     return std::max<std::int64_t>(request.promptTokens - shared, 0);
 }
 
-duration placement_planner::longestFirstByte(const placement_request &request, double readMilliseconds) const
+duration placement_planner::longestFirstByte(const placement_request &request, double readMilliseconds, double patience) const
 {
     const double target = toMilliseconds(request.firstByteTarget);
     const double alone = m_options.baseMilliseconds + readMilliseconds;
-    return std::min(request.usefulWait, fromMilliseconds(std::max(m_options.targetShare * target, alone + m_options.queueShare * target)));
+    return std::min(request.usefulWait, fromMilliseconds(patience * std::max(m_options.targetShare * target, alone + m_options.queueShare * target)));
 }
 
 placement_planner::heavy_option
@@ -324,7 +328,7 @@
         obstacle = heavy_obstacle::full;
     } else if (isMixed && (at.load.recentTokens + counted > m_options.mixedTokens || at.load.total() >= slots)) {
         obstacle = heavy_obstacle::streams;
-    } else if (predicted > longestFirstByte(request, readMilliseconds)) {
+    } else if (predicted > longestFirstByte(request, readMilliseconds, keepsParts ? keeperPatience : 1)) {
         obstacle = heavy_obstacle::late;
     }
     // Entries that place the same new part at the same moment agree on the endpoint if nothing else tells them apart.
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -246,8 +246,8 @@
     [[nodiscard]] placement_decision placeHeavy(const placement_request &request, std::vector<candidate> usable, time_point now);
     /// isMixed: the engine streams answers to short prompts. areAllMixed: so do all others.
     [[nodiscard]] heavy_option assess(const placement_request &request, const candidate &at, bool isMixed, bool areAllMixed, time_point now) const;
-    /// Longest predicted time to the first byte with which the request is still sent.
-    [[nodiscard]] duration longestFirstByte(const placement_request &request, double readMilliseconds) const;
+    /// Longest predicted time to the first byte with which the request is still sent; patience lengthens it.
+    [[nodiscard]] duration longestFirstByte(const placement_request &request, double readMilliseconds, double patience) const;
     [[nodiscard]] std::int64_t uncachedTokens(const placement_request &request, const candidate &at, time_point now) const;
     [[nodiscard]] double millisecondsToRead(const std::string &endpointId, std::int64_t tokens, time_point now) const;
     [[nodiscard]] double slownessOf(const std::string &endpointId, time_point now) const;
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -182,6 +182,16 @@
     EXPECT_EQ(m_planner.place(longPrompt(2), start).refusal, placement_refusal::overloaded) << "only its first part is kept, so it is read elsewhere";
 }
 
+TEST_F(placement_test, WaitsForTheEngineThatKeepsThePartsRatherThanReadThemAgainInTime)
+{
+    m_planner.onPeerDigest(
+        "peer", {.endpoints = {{"e4", {.waiting = 5, .waitingTokens = 20000, .heavy = 5}}}, .placements = {{10, "e4"}, {1001, "e4"}}}, start);
+    const auto kept = m_planner.place(longPrompt(1), start).chosen;
+    EXPECT_EQ(kept.endpoint->record.id, "e4");
+    EXPECT_GT(kept.predictedFirstByte, std::chrono::milliseconds(510)) << "beyond 0.85 of its target";
+    EXPECT_NE(m_planner.place(longPrompt(2), start).chosen.endpoint->record.id, "e4") << "its own shared part is kept nowhere";
+}
+
 TEST_F(placement_test, TellsWhyTheEngineThatKeepsThePartsWasPassedOver)
 {
     m_planner.onPeerDigest(
