Read the list of endpoints by the time in which a leaving one must get no work

Change: pause 0.35 and time-out 0.4 of the bound, which the settings file names; the hold of a removal that follows an outage is 0.45 of it. On the small sites nothing changes. Left: one entry of a zone could read for the others.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -20,9 +20,10 @@
 /// Time kept before the end of the grace period to close what is left.
 constexpr std::chrono::milliseconds leaveMargin{400};
 
-/// Pause between reads of the list of endpoints. With the time of a read and a failed one it stays inside the two seconds within which a leaving endpoint must
-/// get no more work.
-constexpr std::chrono::milliseconds endpointsPeriod{700};
+/// Parts of the time within which a leaving endpoint must get no more work: the pause between two reads of the list, and the time after
+/// which a read has failed. One pause, one failed read and one more read stay inside that time.
+constexpr double readShareOfLeaving = 0.35;
+constexpr double timeoutShareOfLeaving = 0.4;
 
 /// Part of the time to convergence for which the log holds a call for new declarations. The log may not wake the call when there are new
 /// ones (it does not when it drops its history), so calls must end and be made again in time.
@@ -71,12 +72,15 @@
                       .log = m_options.settings.log,
                       .wait = fromSeconds(waitShareOfConvergence * toSeconds(m_options.settings.convergence))},
                      {.onRecord = [this](const keyed_record &record, record_timing) { onDeclarations(record); }})
-    , m_endpoints(
-          m_loop,
-          m_log,
-          m_options.logDialect,
-          {.topic = m_options.decoders.endpointsTopic, .log = m_options.settings.log, .period = endpointsPeriod, .longestBackoff = endpointsLongestBackoff},
-          {.onRecord = [this](const keyed_record &record, record_timing timing) { onEndpointRecord(record, timing); }})
+    , m_endpoints(m_loop,
+                  m_log,
+                  m_options.logDialect,
+                  {.topic = m_options.decoders.endpointsTopic,
+                   .log = m_options.settings.log,
+                   .period = fromSeconds(readShareOfLeaving * toSeconds(m_options.settings.leavingBound)),
+                   .timeout = fromSeconds(timeoutShareOfLeaving * toSeconds(m_options.settings.leavingBound)),
+                   .longestBackoff = endpointsLongestBackoff},
+                  {.onRecord = [this](const keyed_record &record, record_timing timing) { onEndpointRecord(record, timing); }})
     , m_callerHooks(std::make_shared<caller_hooks>(
           caller_hooks{.onRequest = [this](const auto &caller, received_request &&request) { onRequest(caller, std::move(request)); },
                        .onGone = [this](caller_connection &caller) { onGone(caller); },
@@ -280,7 +284,7 @@
 void gateway::onEndpointRecord(const keyed_record &record, record_timing timing)
 {
     if (!record.value) {
-        const auto hold = removalHold(timing);
+        const auto hold = removalHold(timing, m_options.settings.leavingBound);
         if (hold == duration{} || m_roster.find(record.key) == nullptr) {
             removeEndpoint(record.key, "removed");
         } else {
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -29,6 +29,8 @@
     duration gracePeriod = std::chrono::seconds(8);
     /// How long after SIGTERM requests are still taken: the balancer asks every second and needs two misses.
     duration acceptWhileLeaving = std::chrono::milliseconds(2400);
+    /// Time after the list says that an endpoint leaves within which it must get no more work.
+    duration leavingBound = std::chrono::seconds(2);
     /// Time within which declarations must be in force everywhere.
     duration convergence = std::chrono::seconds(2);
     retry_allowance_options retries;
--- a/src/gateway/log_follower.cpp
+++ b/src/gateway/log_follower.cpp
@@ -18,15 +18,16 @@
 
 } // namespace
 
-duration removalHold(record_timing timing)
+duration removalHold(record_timing timing, duration leavingBound)
 {
+    constexpr double soonShare = 0.45;
     switch (timing) {
     case record_timing::steady:
         return {};
     case record_timing::first_after_outage:
         return std::chrono::milliseconds(2250);
     case record_timing::soon_after_outage:
-        return std::chrono::milliseconds(900);
+        return fromSeconds(soonShare * toSeconds(leavingBound));
     }
     return {};
 }
--- a/test/adapter_test.cpp
+++ b/test/adapter_test.cpp
@@ -12,7 +12,7 @@
 constexpr const char *settingsText = R"({"node_name":"front-1","zone":"z-a","unknown":{"x":1},
   "listen":{"front":"10.1.0.19:8740","ready":"10.1.0.19:8749","control":"10.1.0.19:8748"},
   "seed_addrs":["10.1.0.19:8748","10.2.0.13:8748"],"limits":{"memory_mb":260,"max_fds":4200},
-  "bounds":{"grace_period_s":8,"config_converge_ms":2000,"retry_budget_ratio":0.2,"retry_budget_slack":52,"budget_window_s":10},
+  "bounds":{"grace_period_s":8,"drain_timeout_ms":3000,"config_converge_ms":2000,"retry_budget_ratio":0.2,"retry_budget_slack":52,"budget_window_s":10},
   "platform":{"address":"10.200.1.7:8742"}})";
 
 std::string replaced(std::string text, const std::string &from, const std::string &to)
@@ -29,6 +29,7 @@
     EXPECT_EQ(toString(settings.log), "10.200.1.7:8742");
     EXPECT_EQ(settings.seeds.size(), 2U);
     EXPECT_EQ(settings.gracePeriod, std::chrono::seconds(8));
+    EXPECT_EQ(settings.leavingBound, std::chrono::seconds(3));
     EXPECT_EQ(settings.retries.slack, 52);
     EXPECT_EQ(settings.maxDescriptors, 4200U);
 }
--- a/test/endpoint_roster_test.cpp
+++ b/test/endpoint_roster_test.cpp
@@ -107,14 +107,17 @@
 
 TEST(removal_hold_test, LeavesTimeToActOnARemovalThatFollowsAnOutage)
 {
+    for (const std::chrono::milliseconds shortOrLong : {std::chrono::milliseconds(800), std::chrono::milliseconds(4000)}) {
+        EXPECT_LT(removalHold(record_timing::soon_after_outage, shortOrLong), shortOrLong / 2) << "half is left to read that it was removed";
+    }
     constexpr std::chrono::milliseconds bound{2000};
     constexpr std::chrono::milliseconds readPeriod{800};
-    EXPECT_EQ(removalHold(record_timing::steady), duration{});
-    EXPECT_LT(removalHold(record_timing::soon_after_outage) + readPeriod, bound);
+    EXPECT_EQ(removalHold(record_timing::steady, bound), duration{});
+    EXPECT_LT(removalHold(record_timing::soon_after_outage, bound) + readPeriod, bound);
     constexpr std::chrono::milliseconds untilInTouch{3000};
     constexpr std::chrono::milliseconds readAndTick{200};
-    EXPECT_LT(endpointsLongestBackoff + removalHold(record_timing::first_after_outage) + readAndTick, untilInTouch);
-    EXPECT_GE(removalHold(record_timing::first_after_outage), std::chrono::seconds(2)) << "living endpoints are back within two seconds";
+    EXPECT_LT(endpointsLongestBackoff + removalHold(record_timing::first_after_outage, bound) + readAndTick, untilInTouch);
+    EXPECT_GE(removalHold(record_timing::first_after_outage, bound), std::chrono::seconds(2)) << "living endpoints are back within two seconds";
 }
 
 } // namespace
--- a/test/entry_standins.cpp
+++ b/test/entry_standins.cpp
@@ -179,16 +179,21 @@
 std::string settingsForTests(const entry_ports &ports, std::uint16_t log, const std::vector<std::uint16_t> &seeds)
 {
     const std::string local = "127.0.0.1:";
-    json settings{
-        {"node_name", "entry"},
-        {"zone", "z"},
-        {"listen",
-         {{"front", local + std::to_string(ports.callers)},
-          {"ready", local + std::to_string(ports.readiness)},
-          {"control", local + std::to_string(ports.control)}}},
-        {"limits", {{"memory_mb", 260}, {"max_fds", 4200}}},
-        {"bounds", {{"grace_period_s", 8}, {"config_converge_ms", 2000}, {"retry_budget_ratio", 0.2}, {"retry_budget_slack", 52}, {"budget_window_s", 10}}},
-        {"platform", {{"address", local + std::to_string(log)}}}};
+    json settings{{"node_name", "entry"},
+                  {"zone", "z"},
+                  {"listen",
+                   {{"front", local + std::to_string(ports.callers)},
+                    {"ready", local + std::to_string(ports.readiness)},
+                    {"control", local + std::to_string(ports.control)}}},
+                  {"limits", {{"memory_mb", 260}, {"max_fds", 4200}}},
+                  {"bounds",
+                   {{"grace_period_s", 8},
+                    {"drain_timeout_ms", 2000},
+                    {"config_converge_ms", 2000},
+                    {"retry_budget_ratio", 0.2},
+                    {"retry_budget_slack", 52},
+                    {"budget_window_s", 10}}},
+                  {"platform", {{"address", local + std::to_string(log)}}}};
     for (const auto seed : seeds) {
         settings["seed_addrs"].push_back(local + std::to_string(seed));
     }
