--- a/src/evidence/metrics.cpp
+++ b/src/evidence/metrics.cpp
@@ -29,6 +29,16 @@
     ++m_events[{std::string(toString(event)), className}];
 }
 
+void metrics::countLabelled(const std::string &counterName, const std::string &labelName, const std::string &label, const std::string &outcome)
+{
+    constexpr std::size_t mostSeries = 2000;
+    const auto key = [&](const std::string &value) { return std::pair(counterName, labelName + "=\"" + value + "\",outcome=\"" + outcome + '"'); };
+    const absl::MutexLock lock(&m_mutex);
+    auto own = key(label);
+    const bool isKept = m_labelled.size() < mostSeries || m_labelled.contains(own);
+    ++m_labelled[isKept ? std::move(own) : key("other")];
+}
+
 void metrics::observeSeconds(const std::string &summaryName, const std::string &className, double seconds)
 {
     const absl::MutexLock lock(&m_mutex);
@@ -51,6 +61,13 @@
         page << "wisteriashunt_events_total{event=\"" << key.first << "\",class=\"" << key.second << "\"} " << count << '\n';
     }
     std::string_view typedName;
+    for (const auto &[key, count] : m_labelled) {
+        if (key.first != typedName) {
+            page << "# TYPE wisteriashunt_" << key.first << " counter\n";
+            typedName = key.first;
+        }
+        page << "wisteriashunt_" << key.first << '{' << key.second << "} " << count << '\n';
+    }
     for (const auto &[key, values] : m_summaries) {
         const auto &[name, className] = key;
         if (name != typedName) {
--- a/src/evidence/metrics.h
+++ b/src/evidence/metrics.h
@@ -27,6 +27,10 @@
     /// Counts an event of a class of requests.
     void count(event_number event, const std::string &className);
 
+    /// Counts under labels that are not known beforehand, for example an endpoint's name. Beyond a bound on series (endpoints come and go)
+    /// the count goes to one series with the labels value "other".
+    void countLabelled(const std::string &counterName, const std::string &labelName, const std::string &label, const std::string &outcome);
+
     /// Adds a time to the summary of that name, for example "first_byte_seconds".
     void observeSeconds(const std::string &summaryName, const std::string &className, double seconds);
 
@@ -42,6 +46,8 @@
 
     mutable absl::Mutex m_mutex;
     std::map<std::pair<std::string, std::string>, std::uint64_t> m_events ABSL_GUARDED_BY(m_mutex);
+    /// By name and rendered labels.
+    std::map<std::pair<std::string, std::string>, std::uint64_t> m_labelled ABSL_GUARDED_BY(m_mutex);
     /// By name and class.
     std::map<std::pair<std::string, std::string>, summary> m_summaries ABSL_GUARDED_BY(m_mutex);
     std::map<std::string, std::function<double()>> m_gauges ABSL_GUARDED_BY(m_mutex);
--- a/src/gateway/request_answers.cpp
+++ b/src/gateway/request_answers.cpp
@@ -112,6 +112,7 @@
     m_context.loop.cancel(m_timer);
     const std::string className = m_route == nullptr ? "-" : m_route->name;
     m_context.counters.count(event, className);
+    m_context.counters.countLabelled("requests_total", "class", className, reason);
     if (m_firstByteAfter > duration{}) {
         m_context.counters.observeSeconds("first_byte_seconds", className, toSeconds(m_firstByteAfter));
         m_context.counters.observeSeconds("longest_pause_seconds", className, toSeconds(m_longestPause));
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -295,6 +295,7 @@
         return;
     }
     const auto endpoint = m_placed->endpoint;
+    m_context.counters.countLabelled("attempts_total", "endpoint", endpoint->record.id, std::string(toString(outcome)));
     m_context.planner.onFinished(*m_placed, m_hasFirstByte);
     m_context.noteRoom();
     if (endpoint->health.report(outcome, m_context.loop.now(), {})) {
--- a/src/membership/endpoint_roster.cpp
+++ b/src/membership/endpoint_roster.cpp
@@ -5,6 +5,23 @@
 namespace wisteriashunt
 {
 
+std::string_view toString(endpoint_outcome outcome)
+{
+    switch (outcome) {
+    case endpoint_outcome::answered:
+        return "answered";
+    case endpoint_outcome::failed:
+        return "failed";
+    case endpoint_outcome::rejected:
+        return "rejected";
+    case endpoint_outcome::broken:
+        return "broken";
+    case endpoint_outcome::unreachable:
+        return "unreachable";
+    }
+    return "unknown";
+}
+
 bool endpoint_health::report(endpoint_outcome outcome, time_point now, const health_options &options)
 {
     // A rejection tells of load, not of health.
--- a/src/membership/endpoint_roster.h
+++ b/src/membership/endpoint_roster.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace wisteriashunt
@@ -44,6 +45,8 @@
     unreachable,
 };
 
+[[nodiscard]] std::string_view toString(endpoint_outcome outcome);
+
 /// When an endpoint is taken out of use for a while.
 struct health_options
 {
--- a/test/adapter_test.cpp
+++ b/test/adapter_test.cpp
@@ -48,6 +48,10 @@
     EXPECT_NE(messageOf(replaced(settingsText, "10.1.0.19:8740", "10.1.0.19")).find("10.1.0.19"), std::string::npos);
     EXPECT_NE(messageOf(replaced(settingsText, "4200", "\"many\"")).find("number"), std::string::npos);
     EXPECT_NE(messageOf("{"), "accepted");
+    EXPECT_NE(messageOf("[]"), "accepted");
+    EXPECT_NE(messageOf(replaced(settingsText, "grace_period_s", "grace")).find("bounds.grace_period_s: expected a number"), std::string::npos);
+    EXPECT_NE(messageOf(replaced(settingsText, "\"bounds\"", "\"bound\"")).find("bounds: expected an object"), std::string::npos);
+    EXPECT_NE(messageOf(replaced(settingsText, "10.200.1.7:8742", "log")).find("platform.address: expected IP:PORT, found \"log\""), std::string::npos);
 }
 
 TEST(wire_dialect_test, ReadsARequestsFields)
--- a/test/evidence_test.cpp
+++ b/test/evidence_test.cpp
@@ -3,8 +3,12 @@
 
 #include "support.h"
 
+#include "evidence/metrics.h"
+
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace wisteriashunt
 {
 namespace
@@ -123,5 +127,18 @@
     EXPECT_TRUE(findings().empty());
 }
 
+TEST(metrics_test, KeepsABoundedNumberOfSeriesForNamesThatComeAndGo)
+{
+    metrics counters;
+    constexpr int names = 3000;
+    for (int i = 0; i < names; ++i) {
+        counters.countLabelled("attempts_total", "endpoint", "e" + std::to_string(i), "answered");
+    }
+    const auto page = counters.render();
+    EXPECT_LT(std::count(page.begin(), page.end(), '\n'), names);
+    EXPECT_NE(page.find("wisteriashunt_attempts_total{endpoint=\"e0\",outcome=\"answered\"} 1"), std::string::npos);
+    EXPECT_NE(page.find("wisteriashunt_attempts_total{endpoint=\"other\",outcome=\"answered\"} 1000"), std::string::npos);
+}
+
 } // namespace
 } // namespace wisteriashunt
--- a/test/gateway_test.cpp
+++ b/test/gateway_test.cpp
@@ -287,6 +287,8 @@
     EXPECT_NE(page.find("wisteriashunt_events_total{event=\"request_answered\",class=\"unsafe\"} 1"), std::string::npos) << page;
     EXPECT_NE(page.find("wisteriashunt_first_byte_seconds_count{class=\"unsafe\"} 1"), std::string::npos) << page;
     EXPECT_NE(page.find("wisteriashunt_endpoints_listed 1"), std::string::npos) << page;
+    EXPECT_NE(page.find("wisteriashunt_requests_total{class=\"unsafe\",outcome=\"200\"} 1"), std::string::npos) << page;
+    EXPECT_NE(page.find("wisteriashunt_attempts_total{endpoint=\"e0\",outcome=\"answered\"} 1"), std::string::npos) << page;
 }
 
 TEST_F(gateway_test, AnEntryThatTheLogRefusesLearnsFromAnother)
