--- a/src/membership/endpoint_roster.cpp
+++ b/src/membership/endpoint_roster.cpp
@@ -68,12 +68,32 @@
     return std::pair(record.bornMilliseconds, record.sequence) <= std::pair(last->second.bornMilliseconds, last->second.sequence);
 }
 
+void endpoint_roster::dropOldestEntry(const std::string &exceptId)
+{
+    // Late copies of an entry come within minutes; this many others have come and gone since.
+    constexpr std::size_t mostGone = 1000;
+    if (m_lastEntries.size() <= m_endpoints.size() + mostGone) {
+        return;
+    }
+    auto oldest = m_lastEntries.end();
+    for (auto each = m_lastEntries.begin(); each != m_lastEntries.end(); ++each) {
+        const bool isGone = each->first != exceptId && !m_endpoints.contains(each->first);
+        if (isGone && (oldest == m_lastEntries.end() || each->second.bornMilliseconds < oldest->second.bornMilliseconds)) {
+            oldest = each;
+        }
+    }
+    if (oldest != m_lastEntries.end()) {
+        m_lastEntries.erase(oldest);
+    }
+}
+
 bool endpoint_roster::apply(const endpoint_record &record)
 {
     if (isOutdated(record)) {
         return false;
     }
     m_lastEntries[record.id] = {.bornMilliseconds = record.bornMilliseconds, .sequence = record.sequence};
+    dropOldestEntry(record.id);
     const auto position = m_endpoints.find(record.id);
     if (position != m_endpoints.end()) {
         const auto known = position->second;
--- a/src/membership/endpoint_roster.h
+++ b/src/membership/endpoint_roster.h
@@ -102,6 +102,12 @@
     [[nodiscard]] const std::vector<endpoint_pointer> &ofService(const std::string &service) const;
 
     [[nodiscard]] endpoint_pointer find(const std::string &id) const;
+    /// Endpoints, listed or gone, whose newest entry is remembered so that an older copy changes nothing.
+    [[nodiscard]] std::size_t remembered() const
+    {
+        return m_lastEntries.size();
+    }
+
     [[nodiscard]] std::size_t size() const;
 
     /// Called with each endpoint that is gone, replaced or draining.
@@ -118,6 +124,9 @@
         std::int64_t sequence = 0;
     };
 
+    /// Bounds the memory of endpoints that are gone.
+    void dropOldestEntry(const std::string &exceptId);
+
     std::map<std::string, endpoint_pointer> m_endpoints;
     std::map<std::string, last_entry> m_lastEntries;
     std::map<std::string, std::vector<endpoint_pointer>> m_services;
--- a/test/endpoint_roster_test.cpp
+++ b/test/endpoint_roster_test.cpp
@@ -105,6 +105,21 @@
     EXPECT_FALSE(health.isFailing({}));
 }
 
+TEST(endpoint_roster_memory_test, ForgetsTheOldestOfManyEndpointsThatAreGone)
+{
+    endpoint_roster roster;
+    const auto entry = [](int number) {
+        return endpoint_record{.id = "e" + std::to_string(number), .service = "s", .address = {.ip = 1, .port = 80}, .bornMilliseconds = number, .sequence = 1};
+    };
+    constexpr int many = 3000;
+    for (int number = 0; number < many; ++number) {
+        roster.apply(entry(number));
+        roster.remove("e" + std::to_string(number));
+    }
+    EXPECT_LE(roster.remembered(), 1001U);
+    EXPECT_FALSE(roster.apply(entry(many - 1))) << "a late copy of an entry that was removed lately changes nothing";
+}
+
 TEST(removal_hold_test, LeavesTimeToActOnARemovalThatFollowsAnOutage)
 {
     for (const std::chrono::milliseconds shortOrLong : {std::chrono::milliseconds(800), std::chrono::milliseconds(4000)}) {
