--- a/src/endpoint/operation_ledger.h
+++ b/src/endpoint/operation_ledger.h
@@ -1,4 +1,4 @@
-/// Remembers which attempts started here, so that the fate of a lost one can be told truthfully.
+/// Remembers which attempts started here, so that the outcome of a lost one is answered from a record.
 #pragma once
 
 #include "wisteriashunt/messages.h"
--- a/src/gateway/log_follower.h
+++ b/src/gateway/log_follower.h
@@ -43,7 +43,7 @@
 /// How long an endpoint whose entry was dropped is still used. An entry that expired in an outage is back within about two seconds of the
 /// log's return if the endpoint lives. One that is dropped after the return may be a true removal, which must be in force leavingBound after
 /// it was written, and reading takes a part of these. With the pause before a return is noticed (endpointsLongestBackoff) a hold ends less
-/// than three seconds after the return, when an entry counts as in touch with the log again.
+/// than three seconds after the log has returned: longer than that no entry may act on what it knew before.
 [[nodiscard]] duration removalHold(record_timing timing, duration leavingBound);
 
 /// Longest pause between two attempts to read the list of endpoints while the log does not answer.
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -69,6 +69,18 @@
     lastWasValue = true;
 }
 
+/// What readers of requests and of responses have in common.
+http_parser_settings callbackTable(http_data_cb onField, http_data_cb onValue, http_cb onHeaders, http_data_cb onBody, http_cb onComplete)
+{
+    http_parser_settings made{};
+    made.on_header_field = onField;
+    made.on_header_value = onValue;
+    made.on_headers_complete = onHeaders;
+    made.on_body = onBody;
+    made.on_message_complete = onComplete;
+    return made;
+}
+
 } // namespace
 
 request_reader::request_reader(const request_bounds &bounds)
@@ -174,13 +186,8 @@
 const http_parser_settings &request_reader::callbacks()
 {
     static const http_parser_settings settings = [] {
-        http_parser_settings made{};
+        auto made = callbackTable(onField, onValue, onHeadersComplete, onBody, onMessageComplete);
         made.on_url = onUrl;
-        made.on_header_field = onField;
-        made.on_header_value = onValue;
-        made.on_headers_complete = onHeadersComplete;
-        made.on_body = onBody;
-        made.on_message_complete = onMessageComplete;
         return made;
     }();
     return settings;
@@ -322,13 +329,8 @@
 const http_parser_settings &response_reader::callbacks()
 {
     static const http_parser_settings settings = [] {
-        http_parser_settings made{};
+        auto made = callbackTable(onField, onValue, onHeadersComplete, onBody, onMessageComplete);
         made.on_status = onStatus;
-        made.on_header_field = onField;
-        made.on_header_value = onValue;
-        made.on_headers_complete = onHeadersComplete;
-        made.on_body = onBody;
-        made.on_message_complete = onMessageComplete;
         return made;
     }();
     return settings;
