--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -65,7 +65,7 @@
     bool operator==(const load_digest &) const = default;
 };
 
-/// Constants of the engines that the choice works with; all but the first two are corrected by observation.
+/// What the choice works with. Speeds and times to the first byte are corrected by observation; the bounds are not.
 struct placement_options
 {
     /// Prompt tokens from which a request counts as long: read in at 45 tokens/ms they take a fifth of a 300 ms pause.
