--- /dev/null
+++ b/test/child_process.cpp
@@ -0,0 +1,67 @@
+#include "child_process.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <fcntl.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace wisteriashunt::testing
+{
+
+namespace
+{
+
+constexpr auto hangLimit = std::chrono::seconds(60);
+constexpr auto pollInterval = std::chrono::milliseconds(20);
+
+/// The texts as exec takes them; they must outlive the result.
+std::vector<char *> pointersTo(const std::vector<std::string> &texts)
+{
+    std::vector<char *> pointers;
+    for (const auto &text : texts) {
+        pointers.push_back(const_cast<char *>(text.c_str()));
+    }
+    pointers.push_back(nullptr);
+    return pointers;
+}
+
+} // namespace
+
+pid_t startProcess(const std::vector<std::string> &arguments, const std::string &output, const std::vector<std::string> &environment)
+{
+    constexpr mode_t ownerOnly = 0600;
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(), O_WRONLY | O_CREAT | O_APPEND, ownerOnly);
+    pid_t process = 0;
+    const int error = posix_spawn(
+        &process, arguments.front().c_str(), &actions, nullptr, pointersTo(arguments).data(), environment.empty() ? environ : pointersTo(environment).data());
+    posix_spawn_file_actions_destroy(&actions);
+    if (error != 0) {
+        throw std::runtime_error("cannot start " + arguments.front());
+    }
+    return process;
+}
+
+int exitOf(int waitStatus)
+{
+    return WIFEXITED(waitStatus) ? WEXITSTATUS(waitStatus) : -WTERMSIG(waitStatus);
+}
+
+void waitUntil(const std::string &what, const std::function<bool()> &condition)
+{
+    const auto limit = std::chrono::steady_clock::now() + hangLimit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > limit) {
+            FAIL() << "waited in vain until " << what;
+        }
+        std::this_thread::sleep_for(pollInterval);
+    }
+}
+
+} // namespace wisteriashunt::testing
--- a/test/entry_soak_test.cpp
+++ b/test/entry_soak_test.cpp
@@ -1,20 +1,20 @@
 // Real entry processes under load, with planned ends, kills, freezes and cut links. What was promised is checked from what callers got and
 // what endpoints ran.
+#include "child_process.h"
 #include "entry_standins.h"
 #include "fault_proxy.h"
+#include "platform/adapter.h"
 
 #include <gtest/gtest.h>
 
 #include <array>
 #include <csignal>
 #include <cstdlib>
-#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <functional>
 #include <random>
 #include <set>
-#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -105,7 +105,7 @@
             std::ofstream(settingsPath(i)) << settingsForTests(m_ports[i], m_logLink.port(), {m_ports[0].control, m_ports[1].control});
             launch(i);
         }
-        waitUntil([this] { return allReady(); });
+        waitUntil("all entries are ready", [this] { return allReady(); });
         m_threads.emplace_back([this] { balance(); });
         for (int i = 0; i < callers; ++i) {
             m_threads.emplace_back([this, i] { callInTurn(i); });
@@ -140,16 +140,7 @@
 
     void launch(int entry)
     {
-        std::string program = SHUNT_ENTRY;
-        std::string variable = "WISTERIASHUNT_BOOT=" + settingsPath(entry);
-        std::array<char *, 2> arguments{program.data(), nullptr};
-        std::array<char *, 2> environment{variable.data(), nullptr};
-        posix_spawn_file_actions_t actions;
-        posix_spawn_file_actions_init(&actions);
-        const auto log = settingsPath(entry) + ".log";
-        posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-        ASSERT_EQ(posix_spawn(&m_processes[entry], program.c_str(), &actions, nullptr, arguments.data(), environment.data()), 0);
-        posix_spawn_file_actions_destroy(&actions);
+        m_processes[entry] = startProcess({SHUNT_ENTRY}, settingsPath(entry) + ".log", {std::string(platform::settingsVariable) + "=" + settingsPath(entry)});
     }
 
     /// Waits for the end of an entry; returns its exit status, or minus the signal that ended it.
@@ -158,15 +149,7 @@
         int status = 0;
         waitpid(m_processes[entry], &status, 0);
         m_processes[entry] = 0;
-        return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
-    }
-
-    /// The limit of the test as a whole ends a wait that never does.
-    static void waitUntil(const std::function<bool()> &condition)
-    {
-        while (!condition()) {
-            std::this_thread::sleep_for(std::chrono::milliseconds(20));
-        }
+        return exitOf(status);
     }
 
     [[nodiscard]] bool allReady() const
@@ -307,7 +290,7 @@
         kill(m_processes[entry], SIGTERM);
         EXPECT_EQ(waitForEnd(entry), 0) << "entry " << entry;
         launch(entry);
-        waitUntil([this] { return allReady(); });
+        waitUntil("all entries are ready", [this] { return allReady(); });
     }
     m_isPlanned = false;
 
@@ -366,9 +349,9 @@
         fault();
         rest(400);
     }
-    waitUntil([this] { return allReady(); });
+    waitUntil("all entries are ready", [this] { return allReady(); });
     const auto before = outcomes().size();
-    waitUntil([this, before] {
+    waitUntil("every entry has served again", [this, before] {
         const auto all = outcomes();
         std::set<int> served;
         for (auto i = before; i < all.size(); ++i) {
--- a/test/process_fixture.cpp
+++ b/test/process_fixture.cpp
@@ -9,15 +9,12 @@
 #include <curl/curl.h>
 #include <nlohmann/json.hpp>
 
-#include <chrono>
 #include <csignal>
 #include <cstdlib>
-#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <sys/wait.h>
-#include <thread>
 #include <unistd.h>
 
 namespace wisteriashunt::testing
@@ -27,8 +24,6 @@
 {
 
 constexpr const char *apiKey = "key-of-the-tests";
-constexpr auto hangLimit = std::chrono::seconds(60);
-constexpr auto pollInterval = std::chrono::milliseconds(20);
 constexpr long callTimeoutSeconds = 60;
 
 struct call_context
@@ -174,20 +169,7 @@
 
 void process_fixture::launch(const std::string &name, const std::vector<std::string> &arguments)
 {
-    const pid_t pid = fork();
-    ASSERT_GE(pid, 0);
-    if (pid == 0) {
-        const int null = open("/dev/null", O_WRONLY);
-        dup2(null, STDOUT_FILENO);
-        std::vector<char *> raw;
-        for (const auto &argument : arguments) {
-            raw.push_back(const_cast<char *>(argument.c_str()));
-        }
-        raw.push_back(nullptr);
-        execv(raw[0], raw.data());
-        _exit(127);
-    }
-    m_processes[name] = pid;
+    m_processes[name] = startProcess(arguments, "/dev/null");
 }
 
 void process_fixture::launchDaemon(const std::string &name)
@@ -205,7 +187,7 @@
     int status = 0;
     waitUntil(name + " ends", [&] { return waitpid(m_processes.at(name), &status, WNOHANG) != 0; });
     m_processes.erase(name);
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    return exitOf(status);
 }
 
 void process_fixture::replaceKeys(const std::string &name, const std::string &keys)
@@ -235,17 +217,6 @@
     return waitForEnd(name);
 }
 
-void process_fixture::waitUntil(const std::string &what, const std::function<bool()> &condition)
-{
-    const auto limit = std::chrono::steady_clock::now() + hangLimit;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() > limit) {
-            FAIL() << "waited in vain until " << what;
-        }
-        std::this_thread::sleep_for(pollInterval);
-    }
-}
-
 void process_fixture::waitUntilReady(const std::string &instance, std::size_t usableEndpoints)
 {
     waitUntil(instance + " is ready", [&] {
--- a/test/process_fixture.h
+++ b/test/process_fixture.h
@@ -1,6 +1,7 @@
 /// A small system of real processes on loopback, for failures that only processes have.
 #pragma once
 
+#include "child_process.h"
 #include "wisteriashunt/resources.h"
 
 #include <gtest/gtest.h>
@@ -59,9 +60,6 @@
     /// Sends the signal and waits for the end.
     int endProcess(const std::string &name, int signal);
 
-    /// Waits until the condition holds. The limit only ends a test that hangs; it is no bound of the product.
-    static void waitUntil(const std::string &what, const std::function<bool()> &condition);
-
     void waitUntilReady(const std::string &instance, std::size_t usableEndpoints = 0);
 
     /// Streams a chat through an entry; the answer must be `length` tokens of `tag`.
