Let a long prompt consider a sample of engines, so that entries do not all send to the one that looks idle

A digest that shows a freed engine wakes the queue of all 28 entries, and all of them see the same engine as the cheapest.

Ruled out: age of digests (the loads of 50 ms before explain what entries knew, mean difference 7,800 tokens) and lost digests (28 live entries throughout); the prefill speed of engines (predictions come true where no others arrive with the prompt).

Change: besides the engines that have all shared parts cached, a long prompt considers at least three engines, drawn by a hash of its last shared part that is the same at every entry. With fewer entries than a third of the engines, more.

test: placement_fleet_test.EntriesThatSeeOneIdleEngineDoNotAllSendToIt fails without the change (28 of 28 entries, at most 4 fit).

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -99,6 +99,8 @@
         return "streams";
     case placement_obstacle::too_late:
         return "late";
+    case placement_obstacle::not_sampled:
+        return "unsampled";
     case placement_obstacle::higher_cost:
         return "dearer";
     }
@@ -343,7 +345,29 @@
     const double cost = wait + prefillWeight * prefillMilliseconds + tieBreak
         + (hasShortStreams ? shortStreamPenaltyMilliseconds : stalledStreamMilliseconds * target.load.shortPrompts)
         + overcommitMilliseconds * std::max(0.0, target.load.total() / slots - 1) + failurePenalty * 100 * target.endpoint->health.failureShare();
-    return {.target = &target, .uncached = uncached, .predictedFirstByte = predicted, .cost = cost, .obstacle = obstacle};
+    return {.target = &target, .uncached = uncached, .predictedFirstByte = predicted, .cost = cost, .obstacle = obstacle, .hasCachedParts = hasCachedParts};
+}
+
+void placement_planner::restrictToSample(const placement_request &request, std::vector<long_prompt_option> &options, time_point now) const
+{
+    const auto key = affinityKey(request.prompt);
+    std::vector<std::pair<std::uint64_t, long_prompt_option *>> drawn;
+    for (auto &option : options) {
+        // Engines with streams of short prompts are ruled out for long, so they would only shrink the sample.
+        if (!option.hasCachedParts && option.obstacle != placement_obstacle::stream_pauses) {
+            drawn.emplace_back(mixBits(key ^ option.target->order), &option);
+        }
+    }
+    const std::size_t entries = liveEntries(now);
+    const std::size_t size = std::max(m_options.minSampledEngines, (options.size() + entries - 1) / entries);
+    if (drawn.size() <= size) {
+        return;
+    }
+    std::sort(drawn.begin(), drawn.end());
+    for (std::size_t i = size; i < drawn.size(); ++i) {
+        auto &obstacle = drawn[i].second->obstacle;
+        obstacle = obstacle == placement_obstacle::none ? placement_obstacle::not_sampled : obstacle;
+    }
 }
 
 placement_decision placement_planner::placeLongPrompt(const placement_request &request, std::vector<candidate> usable, time_point now)
@@ -358,6 +382,7 @@
     for (const auto &each : usable) {
         options.push_back(assess(request, each, hasShortStreams(each), doAllHaveShortStreams, now));
     }
+    restrictToSample(request, options, now);
     const auto best = std::min_element(options.begin(), options.end(), [](const long_prompt_option &left, const long_prompt_option &right) {
         return std::make_tuple(left.obstacle != placement_obstacle::none, left.cost) < std::make_tuple(right.obstacle != placement_obstacle::none, right.cost);
     });
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -98,6 +98,9 @@
     double firstByteTargetShare = 0.6;
     /// Share of the target that a prompt may wait behind others in any case, so that no prompt is refused for its own length.
     double queueTargetShare = 0.1;
+    /// Fewest engines that a long prompt considers besides those with all its shared parts cached. Entries learn of each other's requests
+    /// with a delay; if all considered every engine, they would all send to the one that looks idle.
+    std::size_t minSampledEngines = 3;
     /// Shortest retry delay of a placement that is refused for overload; also the retry delay of a request that was queued for its full queue time.
     duration minRetryAfter = std::chrono::milliseconds(1200);
     /// Time since its last use for which a shared part is assumed to be cached by an engine. Current engines keep parts longer.
@@ -129,6 +132,8 @@
     stream_pauses,
     /// The predicted first byte is too late.
     too_late,
+    /// The engine has not all shared parts cached and is not in the prompt's sample; see placement_options::minSampledEngines.
+    not_sampled,
     /// The engine is eligible, but another one has a lower cost.
     higher_cost,
 };
@@ -240,6 +245,7 @@
         /// In milliseconds of engine time, including the delay caused to other requests.
         double cost = 0;
         placement_obstacle obstacle = placement_obstacle::none;
+        bool hasCachedParts = false;
     };
 
     [[nodiscard]] std::vector<candidate> candidates(const placement_request &request, time_point now) const;
@@ -250,6 +256,8 @@
     /// streams answers to short prompts. doAllHaveShortStreams: this holds for all usable engines.
     [[nodiscard]] long_prompt_option
     assess(const placement_request &request, const candidate &target, bool hasShortStreams, bool doAllHaveShortStreams, time_point now) const;
+    /// Rules out engines outside the prompt's sample, which is drawn by a hash that is the same at every entry.
+    void restrictToSample(const placement_request &request, std::vector<long_prompt_option> &options, time_point now) const;
     /// Longest predicted time to the first byte with which the request is still sent, lengthened by waitFactor.
     [[nodiscard]] duration maxFirstByte(const placement_request &request, double prefillMilliseconds, double waitFactor) const;
     [[nodiscard]] std::int64_t uncachedTokens(const placement_request &request, const candidate &target, time_point now) const;
--- /dev/null
+++ b/test/placement_fleet_test.cpp
@@ -0,0 +1,119 @@
+// Plays load on many entries that learn of each other's requests with a delay, and checks what each engine gets.
+#include "dispatch/placement.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+
+namespace wisteriashunt
+{
+namespace
+{
+
+constexpr time_point start{std::chrono::seconds(1000)};
+constexpr int entryCount = 28;
+constexpr int engineCount = 50;
+constexpr std::int64_t promptTokens = 17000;
+
+/// Entries of one fleet. Their planners share the roster and learn of each other by digests alone.
+class placement_fleet_test : public ::testing::Test
+{
+protected:
+    placement_fleet_test()
+    {
+        for (int i = 0; i < engineCount; ++i) {
+            m_roster.apply({.id = engineId(i), .service = "model", .address = {.ip = 1, .port = 80}, .availabilityZone = "z", .slots = 64, .sequence = 1});
+        }
+        for (int i = 0; i < entryCount; ++i) {
+            m_entries.push_back(std::make_unique<placement_planner>(m_roster, "z", placement_options{}));
+        }
+    }
+
+    static std::string engineId(int engine)
+    {
+        return "e" + std::to_string(engine);
+    }
+
+    static placement_request promptOfSession(std::uint64_t session, duration target)
+    {
+        return {.service = "model",
+                .prompt = {{1000 + session, promptTokens - 3000}, {50000 + session, 3000}},
+                .promptTokens = promptTokens,
+                .hasPrompt = true,
+                .firstByteTarget = target,
+                .maxFirstByteWait = std::chrono::seconds(4)};
+    }
+
+    void exchangeDigests(time_point now)
+    {
+        std::vector<load_digest> digests;
+        for (const auto &entry : m_entries) {
+            digests.push_back(entry->digest(now));
+        }
+        for (std::size_t from = 0; from < m_entries.size(); ++from) {
+            for (std::size_t to = 0; to < m_entries.size(); ++to) {
+                if (from != to) {
+                    m_entries[to]->onPeerDigest(engineId(static_cast<int>(from)), digests[from], now);
+                }
+            }
+        }
+    }
+
+    /// Loads every engine but the idle ones with requests of the first entry.
+    void loadAllEnginesBut(int idleEngines)
+    {
+        std::map<std::string, endpoint_load> busy;
+        for (int i = idleEngines; i < engineCount; ++i) {
+            busy[engineId(i)] = {.waiting = 2, .waitingTokens = 30000, .longPrompts = 2};
+        }
+        for (const auto &entry : m_entries) {
+            entry->onPeerDigest("other", {.endpoints = busy}, start);
+        }
+    }
+
+    endpoint_roster m_roster;
+    std::vector<std::unique_ptr<placement_planner>> m_entries;
+};
+
+TEST_F(placement_fleet_test, EntriesThatSeeOneIdleEngineDoNotAllSendToIt)
+{
+    exchangeDigests(start);
+    loadAllEnginesBut(1);
+    int sentToIdle = 0;
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        const auto decision = m_entries[i]->place(promptOfSession(i, std::chrono::milliseconds(1500)), start);
+        sentToIdle += decision.refusal == placement_refusal::none && decision.chosen.endpoint->record.id == engineId(0) ? 1 : 0;
+    }
+    // 17,000 tokens take 378 ms, so a fifth prompt would begin after the target of 1.5 s.
+    EXPECT_LE(sentToIdle, 4) << "of " << entryCount << " entries that placed a prompt before they learnt of each other's";
+}
+
+TEST_F(placement_fleet_test, PromptsOfOneMomentSpreadOverIdleEngines)
+{
+    exchangeDigests(start);
+    std::map<std::string, int> prompts;
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        const auto decision = m_entries[i]->place(promptOfSession(i, std::chrono::milliseconds(1500)), start);
+        ASSERT_EQ(decision.refusal, placement_refusal::none) << "entry " << i;
+        ++prompts[decision.chosen.endpoint->record.id];
+    }
+    const auto most = std::max_element(prompts.begin(), prompts.end(), [](const auto &left, const auto &right) { return left.second < right.second; });
+    EXPECT_LE(most->second, 4) << "prompts at " << most->first << " of " << entryCount << " over " << engineCount << " idle engines";
+}
+
+TEST_F(placement_fleet_test, EntriesChooseTheSameEngineForOneNewPart)
+{
+    exchangeDigests(start);
+    loadAllEnginesBut(10);
+    std::map<std::string, int> holders;
+    for (const auto &entry : m_entries) {
+        const auto decision = entry->place(promptOfSession(7, std::chrono::milliseconds(1500)), start);
+        ASSERT_EQ(decision.refusal, placement_refusal::none);
+        ++holders[decision.chosen.endpoint->record.id];
+    }
+    EXPECT_EQ(holders.size(), 1U) << "the part would be prefilled on each of them";
+}
+
+} // namespace
+} // namespace wisteriashunt
