Count only work that is at least as urgent as ahead of a long prompt

Cause: engines begin the most urgent waiting prompt first, but placement counted all waiting tokens, and all tokens of long prompts, against every request. Less urgent prompts with the longer target filled the engines up to 900 ms of prefill, where the urgent kind with the shorter target is refused from 600 ms on.

Change: loads carry tokens by rank. A prompt counts the waiting tokens of its rank and of more urgent ones, for the predicted first byte and for the limit on tokens of long prompts. The ranks are appended to each load of the message between entries: entries without them skip the two new members and go on reading the totals; totals without ranks count as the most urgent.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -120,10 +120,10 @@
     double recent = 0;
     const auto add = [&sum](const endpoint_load &load) {
         sum.waiting += load.waiting;
-        sum.waitingTokens += load.waitingTokens;
+        sum.waitingTokens.add(load.waitingTokens);
         sum.shortPrompts += load.shortPrompts;
         sum.longPrompts += load.longPrompts;
-        sum.longPromptTokens += load.longPromptTokens;
+        sum.longPromptTokens.add(load.longPromptTokens);
     };
     if (const auto own = m_endpoints.find(endpointId); own != m_endpoints.end()) {
         add(own->second.load);
@@ -265,7 +265,7 @@
         const auto position = static_cast<std::size_t>(&each - usable.data());
         const double slots = std::max(1, each.endpoint->record.slots);
         const double fill = each.load.total() / slots;
-        const double prefillMilliseconds = millisecondsToPrefill(each.endpoint->record.id, each.load.waitingTokens + request.promptTokens, now);
+        const double prefillMilliseconds = millisecondsToPrefill(each.endpoint->record.id, each.load.waitingTokens.upTo(request.rank) + request.promptTokens, now);
         // An engine outside the group may start the prefill of a long prompt at any time, which delays short prompts there.
         constexpr double outsideGroupMilliseconds = 250;
         constexpr double perLongPromptMilliseconds = 30;
@@ -276,9 +276,10 @@
             + failurePenalty * fillMilliseconds * each.endpoint->health.failureShare();
     };
     const auto best = std::min_element(usable.begin(), usable.end(), [&](const candidate &left, const candidate &right) { return cost(left) < cost(right); });
-    const double wait = millisecondsToPrefill(best->endpoint->record.id, best->load.waitingTokens + request.promptTokens, now);
+    const double wait = millisecondsToPrefill(best->endpoint->record.id, best->load.waitingTokens.upTo(request.rank) + request.promptTokens, now);
     return {.chosen = {.endpoint = best->endpoint,
                        .uncachedTokens = request.promptTokens,
+                       .rank = request.rank,
                        .isLongPrompt = false,
                        .predictedFirstByte = fromMilliseconds(m_options.baseFirstByteMilliseconds + wait)}};
 }
@@ -319,7 +320,7 @@
     const auto &id = target.endpoint->record.id;
     const auto uncached = uncachedTokens(request, target, now);
     const double prefillMilliseconds = millisecondsToPrefill(id, uncached, now);
-    const double wait = millisecondsToPrefill(id, target.load.waitingTokens + uncached, now);
+    const double wait = millisecondsToPrefill(id, target.load.waitingTokens.upTo(request.rank) + uncached, now);
     const auto predicted = fromMilliseconds(m_options.baseFirstByteMilliseconds + wait);
     const double slots = std::max(1, target.endpoint->record.slots);
     // If every engine streams answers to short prompts, the longest prompts would exceed the limit everywhere and never be placed.
@@ -327,7 +328,7 @@
     placement_obstacle obstacle = placement_obstacle::none;
     const bool hasCachedParts = request.prompt.size() > 1 && uncached <= request.prompt.back().tokens;
     const auto longPromptTokenLimit = static_cast<double>(m_options.maxLongPromptTokensPerEndpoint) * (hasCachedParts ? cacheHolderTokenFactor : 1);
-    if (target.load.longPrompts > 0 && static_cast<double>(target.load.longPromptTokens) >= longPromptTokenLimit) {
+    if (target.load.longPrompts > 0 && static_cast<double>(target.load.longPromptTokens.upTo(request.rank)) >= longPromptTokenLimit) {
         obstacle = placement_obstacle::token_limit;
     } else if (hasShortStreams && (target.load.recentTokens + countedTokens > m_options.maxRecentTokensWithStreams || target.load.total() >= slots)) {
         obstacle = placement_obstacle::stream_pauses;
@@ -402,6 +403,7 @@
                                                             : cacheHolder->obstacle;
     return {.chosen = {.endpoint = best->target->endpoint,
                        .uncachedTokens = best->uncached,
+                       .rank = request.rank,
                        .isLongPrompt = true,
                        .predictedFirstByte = best->predictedFirstByte,
                        .cacheHolderObstacle = cacheHolderObstacle}};
@@ -413,9 +415,9 @@
     auto &known = m_endpoints[id];
     auto &load = known.load;
     ++load.waiting;
-    load.waitingTokens += placed.uncachedTokens;
+    load.waitingTokens.add(placed.rank, placed.uncachedTokens);
     ++(placed.isLongPrompt ? load.longPrompts : load.shortPrompts);
-    load.longPromptTokens += placed.isLongPrompt ? placed.uncachedTokens : 0;
+    load.longPromptTokens.add(placed.rank, placed.isLongPrompt ? placed.uncachedTokens : 0);
     if (!request.hasPrompt) {
         return;
     }
@@ -450,7 +452,7 @@
     const auto &id = placed.endpoint->record.id;
     auto &known = m_endpoints[id];
     --known.load.waiting;
-    known.load.waitingTokens -= placed.uncachedTokens;
+    known.load.waitingTokens.add(placed.rank, -placed.uncachedTokens);
     if (placed.predictedFirstByte == duration{}) {
         return;
     }
@@ -465,10 +467,10 @@
     auto &load = m_endpoints[placed.endpoint->record.id].load;
     if (!hadFirstByte) {
         --load.waiting;
-        load.waitingTokens -= placed.uncachedTokens;
+        load.waitingTokens.add(placed.rank, -placed.uncachedTokens);
     }
     --(placed.isLongPrompt ? load.longPrompts : load.shortPrompts);
-    load.longPromptTokens -= placed.isLongPrompt ? placed.uncachedTokens : 0;
+    load.longPromptTokens.add(placed.rank, placed.isLongPrompt ? -placed.uncachedTokens : 0);
 }
 
 load_digest placement_planner::digest(time_point now)
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -6,6 +6,7 @@
 /// group takes up most engines, long prompts also go to engines in it, at a rate that keeps the pauses of the streams there within bounds.
 #pragma once
 
+#include "dispatch/ranked_tokens.h"
 #include "gateway/wire_dialect.h"
 #include "membership/endpoint_roster.h"
 #include "wisteriashunt/time.h"
@@ -27,13 +28,13 @@
     /// Requests that were sent and whose answers have not begun.
     int waiting = 0;
     /// Uncached prompt tokens of the waiting requests.
-    std::int64_t waitingTokens = 0;
+    ranked_tokens waitingTokens;
     /// Short-prompt requests, waiting or running.
     int shortPrompts = 0;
     /// Long-prompt requests, waiting or running.
     int longPrompts = 0;
     /// Uncached prompt tokens of the long-prompt requests, waiting or running.
-    std::int64_t longPromptTokens = 0;
+    ranked_tokens longPromptTokens;
     /// Uncached prompt tokens that were sent recently, of long and short prompts. Decays exponentially with the time constant
     /// placement_options::recentTokensDecayTime.
     std::int64_t recentTokens = 0;
@@ -115,6 +116,8 @@
     std::int64_t promptTokens = 0;
     /// True if the service caches prompts, as model engines do.
     bool hasPrompt = false;
+    /// Priority rank; 0 is the most urgent. Engines begin the waiting request with the most urgent rank first.
+    int rank = 0;
     /// Time from now within which the first byte should arrive.
     duration firstByteTarget{};
     /// Longest acceptable time from now to the first byte: half of the time to the request's deadline.
@@ -146,6 +149,7 @@
     endpoint_pointer endpoint;
     /// Prompt tokens that the engine is expected to prefill.
     std::int64_t uncachedTokens = 0;
+    int rank = 0;
     bool isLongPrompt = false;
     duration predictedFirstByte{};
     /// Long prompts: why the engine with the fewest uncached tokens was not chosen; none if it was.
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -15,20 +15,53 @@
 /// Version of the message format. Messages of another version are rejected.
 constexpr int formatVersion = 2;
 
-using packed_load = std::tuple<std::string, int, std::int64_t, int, int, std::int64_t, std::int64_t>;
+/// The last two members hold tokens by rank. Entries before them read the totals, and entries that read these two ignore the totals.
+using packed_load =
+    std::tuple<std::string, int, std::int64_t, int, int, std::int64_t, std::int64_t, std::vector<std::int64_t>, std::vector<std::int64_t>>;
 using packed_rate = std::tuple<std::string, double>;
 using packed_address = std::tuple<std::uint32_t, std::uint16_t>;
 using packed_placement = std::tuple<std::uint64_t, std::string>;
 using packed_message =
     std::tuple<int, std::int64_t, bool, std::vector<packed_load>, std::vector<packed_rate>, std::vector<packed_placement>, std::vector<packed_address>>;
 
+/// Returns the tokens of each rank without trailing zeros.
+std::vector<std::int64_t> packRanks(const ranked_tokens &tokens)
+{
+    std::vector<std::int64_t> packed;
+    for (int rank = 0; rank <= ranked_tokens::lowestRank; ++rank) {
+        packed.push_back(tokens.ofRank(rank));
+    }
+    while (!packed.empty() && packed.back() == 0) {
+        packed.pop_back();
+    }
+    return packed;
+}
+
+/// Tokens of an entry that reports no ranks count as the most urgent, so that no request is placed as if they did not exist.
+ranked_tokens unpackRanks(const std::vector<std::int64_t> &packed, std::int64_t total)
+{
+    ranked_tokens tokens;
+    for (std::size_t rank = 0; rank < packed.size(); ++rank) {
+        tokens.add(static_cast<int>(rank), packed[rank]);
+    }
+    return packed.empty() ? ranked_tokens(0, total) : tokens;
+}
+
 } // namespace
 
 std::string encodeEntryMessage(const entry_message &message)
 {
     std::vector<packed_load> loads;
     for (const auto &[id, load] : message.load.endpoints) {
-        loads.emplace_back(id, load.waiting, load.waitingTokens, load.shortPrompts, load.longPrompts, load.longPromptTokens, load.recentTokens);
+        loads.emplace_back(id,
+                           load.waiting,
+                           load.waitingTokens.total(),
+                           load.shortPrompts,
+                           load.longPrompts,
+                           load.longPromptTokens.total(),
+                           load.recentTokens,
+                           packRanks(load.waitingTokens),
+                           packRanks(load.longPromptTokens));
     }
     const std::vector<packed_rate> rates(message.load.shortPromptTokensPerSecond.begin(), message.load.shortPromptTokensPerSecond.end());
     std::vector<packed_placement> placements;
@@ -54,12 +87,12 @@
                               "peer message: expected format " + std::to_string(formatVersion) + ", found " + std::to_string(format));
         }
         entry_message message{.declarationsVersion = version, .isLeaving = isLeaving};
-        for (const auto &[id, waiting, tokens, shortPrompts, longPrompts, longPromptTokens, recentTokens] : loads) {
+        for (const auto &[id, waiting, tokens, shortPrompts, longPrompts, longPromptTokens, recentTokens, waitingByRank, longByRank] : loads) {
             message.load.endpoints[id] = {.waiting = waiting,
-                                          .waitingTokens = tokens,
+                                          .waitingTokens = unpackRanks(waitingByRank, tokens),
                                           .shortPrompts = shortPrompts,
                                           .longPrompts = longPrompts,
-                                          .longPromptTokens = longPromptTokens,
+                                          .longPromptTokens = unpackRanks(longByRank, longPromptTokens),
                                           .recentTokens = recentTokens};
         }
         for (const auto &[service, rate] : rates) {
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -100,7 +100,8 @@
     m_placementRequest = {.service = m_service,
                           .prompt = m_metadata.prompt,
                           .promptTokens = m_metadata.promptTokens,
-                          .hasPrompt = m_route->hasPrompt && service != nullptr && service->engineSlots > 0};
+                          .hasPrompt = m_route->hasPrompt && service != nullptr && service->engineSlots > 0,
+                          .rank = m_rank};
     m_resumeAfter = m_metadata.lastEvent;
     m_context.allowanceOf(m_service).onRequest(m_arrival);
     dispatch();
@@ -241,7 +242,7 @@
                          {"heavy", placed.isLongPrompt ? "yes" : "no"},
                          {"light_there", std::to_string(load.shortPrompts)},
                          {"heavy_there", std::to_string(load.longPrompts)},
-                         {"tokens_there", std::to_string(load.waitingTokens)},
+                         {"tokens_there", std::to_string(load.waitingTokens.total())},
                          {"predicted_ms", milliseconds(placed.predictedFirstByte)},
                          {"passed_over", std::string(toString(placed.cacheHolderObstacle))},
                          {"entries", std::to_string(m_context.planner.liveEntries(m_sentAt))}});
--- a/test/placement_fleet_test.cpp
+++ b/test/placement_fleet_test.cpp
@@ -65,7 +65,7 @@
     {
         std::map<std::string, endpoint_load> busy;
         for (int i = idleEngines; i < engineCount; ++i) {
-            busy[engineId(i)] = {.waiting = 2, .waitingTokens = 30000, .longPrompts = 2};
+            busy[engineId(i)] = {.waiting = 2, .waitingTokens = {0, 30000}, .longPrompts = 2};
         }
         for (const auto &entry : m_entries) {
             entry->onPeerDigest("other", {.endpoints = busy}, start);
@@ -115,5 +115,36 @@
     EXPECT_EQ(holders.size(), 1U) << "the part would be prefilled on each of them";
 }
 
+TEST_F(placement_fleet_test, AnUrgentPromptIsPlacedWhenLessUrgentOnesHaveFilledTheEngines)
+{
+    constexpr int urgentRank = 4;
+    constexpr int otherRank = 5;
+    exchangeDigests(start);
+    std::uint64_t session = 0;
+    int refused = 0;
+    // All entries send until each of them refuses its next less urgent prompt.
+    while (refused < entryCount) {
+        refused = 0;
+        for (const auto &entry : m_entries) {
+            auto request = promptOfSession(session++, std::chrono::milliseconds(1500));
+            request.rank = otherRank;
+            const auto decision = entry->place(request, start);
+            if (decision.refusal == placement_refusal::none) {
+                entry->onSent(request, decision.chosen, start);
+            } else {
+                ++refused;
+            }
+        }
+        exchangeDigests(start);
+        ASSERT_LT(session, 10000U);
+    }
+    for (const auto &entry : m_entries) {
+        auto request = promptOfSession(session++, std::chrono::milliseconds(1000));
+        request.rank = urgentRank;
+        EXPECT_EQ(entry->place(request, start).refusal, placement_refusal::none)
+            << "an engine begins it before the waiting prompts of rank " << otherRank;
+    }
+}
+
 } // namespace
 } // namespace wisteriashunt
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 
+#include <msgpack.hpp>
 #include <set>
 
 namespace wisteriashunt
@@ -157,8 +158,8 @@
     std::int64_t tokens = 0;
     for (int i = 0; i < engines; ++i) {
         const auto load = m_planner.loadOf("e" + std::to_string(i), start);
-        EXPECT_LE(load.longPromptTokens, placement_options{}.maxLongPromptTokensPerEndpoint + 9190) << "engine " << i;
-        tokens += load.longPromptTokens;
+        EXPECT_LE(load.longPromptTokens.total(), placement_options{}.maxLongPromptTokensPerEndpoint + 9190) << "engine " << i;
+        tokens += load.longPromptTokens.total();
     }
     const auto longEngines = engines - static_cast<int>(m_planner.shortPromptGroupSize("model", start));
     EXPECT_GE(tokens, longEngines * placement_options{}.maxLongPromptTokensPerEndpoint)
@@ -173,7 +174,7 @@
     const auto sharedTokens = std::int64_t{2520 + 3780};
     std::map<std::string, endpoint_load> busy;
     for (int i = 0; i < engines; ++i) {
-        busy["e" + std::to_string(i)] = {.longPrompts = 8, .longPromptTokens = options.maxLongPromptTokensPerEndpoint};
+        busy["e" + std::to_string(i)] = {.longPrompts = 8, .longPromptTokens = {0, options.maxLongPromptTokensPerEndpoint}};
     }
     m_planner.onPeerDigest("peer", {.endpoints = busy, .placements = {{10, "e4"}, {1001, "e4"}, {10, "e5"}}}, start);
     const auto kept = m_planner.place(longPrompt(1), start);
@@ -186,7 +187,7 @@
 TEST_F(placement_test, PrefersWaitingForTheCacheHolderOverAnotherPrefill)
 {
     m_planner.onPeerDigest(
-        "peer", {.endpoints = {{"e4", {.waiting = 5, .waitingTokens = 20000, .longPrompts = 5}}}, .placements = {{10, "e4"}, {1001, "e4"}}}, start);
+        "peer", {.endpoints = {{"e4", {.waiting = 5, .waitingTokens = {0, 20000}, .longPrompts = 5}}}, .placements = {{10, "e4"}, {1001, "e4"}}}, start);
     const auto kept = m_planner.place(longPrompt(1), start).chosen;
     EXPECT_EQ(kept.endpoint->record.id, "e4");
     EXPECT_GT(kept.predictedFirstByte, std::chrono::milliseconds(510)) << "must exceed the normal limit on the predicted first byte";
@@ -196,7 +197,7 @@
 TEST_F(placement_test, ReportsWhyTheCacheHolderWasNotChosen)
 {
     m_planner.onPeerDigest(
-        "peer", {.endpoints = {{"e4", {.waiting = 9, .waitingTokens = 40000, .longPrompts = 9}}}, .placements = {{10, "e4"}, {1001, "e4"}}}, start);
+        "peer", {.endpoints = {{"e4", {.waiting = 9, .waitingTokens = {0, 40000}, .longPrompts = 9}}}, .placements = {{10, "e4"}, {1001, "e4"}}}, start);
     const auto decision = m_planner.place(longPrompt(1), start);
     EXPECT_NE(decision.chosen.endpoint->record.id, "e4");
     EXPECT_EQ(toString(decision.chosen.cacheHolderObstacle), "late");
@@ -210,7 +211,7 @@
 {
     for (int i = 0; i < engines; ++i) {
         m_planner.onPeerDigest(
-            "peer" + std::to_string(i), {.endpoints = {{"e" + std::to_string(i), {.waiting = 2, .waitingTokens = 16000, .longPrompts = 2}}}}, start);
+            "peer" + std::to_string(i), {.endpoints = {{"e" + std::to_string(i), {.waiting = 2, .waitingTokens = {0, 16000}, .longPrompts = 2}}}}, start);
     }
     EXPECT_EQ(m_planner.place(longPrompt(1), start).refusal, placement_refusal::overloaded) << "360 ms of waiting precede its own 200 ms of prefill";
 }
@@ -219,7 +220,7 @@
 {
     std::map<std::string, endpoint_load> busy;
     for (int i = 0; i < engines; ++i) {
-        busy["e" + std::to_string(i)] = {.waiting = 3, .waitingTokens = 15000, .longPrompts = 3};
+        busy["e" + std::to_string(i)] = {.waiting = 3, .waitingTokens = {0, 15000}, .longPrompts = 3};
     }
     m_planner.onPeerDigest("peer", {.endpoints = busy, .placements = {{10, "e4"}, {1001, "e4"}}}, start);
     const auto kept = m_planner.place(longPrompt(1), start);
@@ -335,13 +336,55 @@
     const entry_message message{
         .declarationsVersion = 12,
         .isLeaving = true,
-        .load = {.endpoints = {{"e1", {.waiting = 1, .waitingTokens = 900, .shortPrompts = 2, .longPrompts = 3, .longPromptTokens = 4, .recentTokens = 5}}},
+        .load = {.endpoints = {{"e1", {.waiting = 1, .waitingTokens = {0, 900}, .shortPrompts = 2, .longPrompts = 3, .longPromptTokens = {7, 4}, .recentTokens = 5}}},
                  .shortPromptTokensPerSecond = {{"s", 12.5}},
                  .placements = {{77, "e1"}}},
         .peers = {{.ip = 5, .port = 6}}};
     EXPECT_EQ(decodeEntryMessage(encodeEntryMessage(message)), message);
 }
 
+TEST(entry_message_test, CountsTokensWithoutRanksAsTheMostUrgent)
+{
+    // A load as entries without ranks send it: it ends after recentTokens.
+    using load_without_ranks = std::tuple<std::string, int, std::int64_t, int, int, std::int64_t, std::int64_t>;
+    constexpr int format = 2;
+    const std::vector<load_without_ranks> loads{{"e1", 1, 900, 0, 1, 700, 0}};
+    const std::vector<int> none;
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, std::make_tuple(format, 12, false, loads, none, none, none));
+    const auto message = decodeEntryMessage({buffer.data(), buffer.size()});
+    const auto &load = message.load.endpoints.at("e1");
+    EXPECT_EQ(load.waitingTokens, ranked_tokens(0, 900));
+    EXPECT_EQ(load.longPromptTokens, ranked_tokens(0, 700));
+}
+
+TEST(entry_message_test, IgnoresMembersThatLaterEntriesAppend)
+{
+    const entry_message message{.declarationsVersion = 3, .load = {.endpoints = {{"e1", {.waiting = 1, .waitingTokens = {2, 900}}}}}};
+    const auto bytes = encodeEntryMessage(message);
+    const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+    msgpack::sbuffer buffer;
+    msgpack::packer packer(buffer);
+    const auto &members = handle.get().via.array;
+    packer.pack_array(members.size + 1);
+    for (std::uint32_t i = 0; i < members.size; ++i) {
+        packer.pack(members.ptr[i]);
+    }
+    packer.pack(std::string("appended"));
+    EXPECT_EQ(decodeEntryMessage({buffer.data(), buffer.size()}), message);
+}
+
+TEST(ranked_tokens_test, SumsRanksThatAreAtLeastAsUrgent)
+{
+    ranked_tokens tokens(3, 100);
+    tokens.add(5, 40);
+    tokens.add(ranked_tokens::lowestRank + 7, 1);
+    EXPECT_EQ(tokens.upTo(2), 0);
+    EXPECT_EQ(tokens.upTo(3), 100);
+    EXPECT_EQ(tokens.upTo(5), 140);
+    EXPECT_EQ(tokens.total(), 141);
+}
+
 TEST(entry_message_test, RejectsTruncatedAndMalformedBytes)
 {
     const auto bytes = encodeEntryMessage({});
