Follow the platform's log through a return from a copy that lacks its newest records

Cause: the log may come back from a copy some seconds old. Its offsets then go back and are given out again.

Change: the adapter reads the epoch of every answer (header Store-Era). After a higher epoch, seen in an answer or at a peer, a topic is read anew once, after a pause that differs between entries. Records of different epochs are ordered by what they state: declarations by version, endpoints by incarnation and sequence; so neither goes back. Declarations that the log lacks stay in force; endpoints that it lacks are kept for removalHold as after an outage. An entry that starts hears its peers before it is ready and takes the newest declarations of all. Answers of earlier epochs are discarded; an epoch that is no number fails the call. Members are appended to the messages between entries, so entries without epochs serve on beside entries with them: they skip the new members, and what they send counts as epoch 0.

--- a/src/evidence/decision.cpp
+++ b/src/evidence/decision.cpp
@@ -68,6 +68,8 @@
         return "platform_down";
     case event_number::platform_up:
         return "platform_up";
+    case event_number::log_restored:
+        return "log_restored";
     case event_number::process_started:
         return "process_started";
     case event_number::process_leaving:
--- a/src/evidence/decision.h
+++ b/src/evidence/decision.h
@@ -43,6 +43,7 @@
     peer_refused = 403,
     platform_down = 501,
     platform_up = 502,
+    log_restored = 503,
     process_started = 601,
     process_leaving = 602,
     process_stopped = 603,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -35,6 +35,23 @@
 /// Bodies of open requests may take the instance's memory divided by this. Responses and buffers need about as much again.
 constexpr std::size_t bodyMemoryDivisor = 4;
 
+/// Time after the start during which an entry waits for the first message of a peer before it is ready; entries without load send messages
+/// every peer_exchange_options::idlePeriod.
+constexpr std::chrono::milliseconds firstPeerMessageWait{700};
+
+/// Time after the start during which an entry that knows of newer declarations at a peer is not ready.
+constexpr std::chrono::milliseconds startCatchUpTime{2500};
+
+/// Longest pause of an entry before it reads a topic anew in a higher epoch of the log.
+constexpr std::chrono::milliseconds maxRereadDelay{250};
+
+/// Spreads the entries over maxRereadDelay.
+duration rereadDelayOf(const std::string &instance)
+{
+    constexpr std::size_t steps = 64;
+    return maxRereadDelay * static_cast<std::int64_t>(std::hash<std::string>{}(instance) % steps) / static_cast<std::int64_t>(steps);
+}
+
 caller_options callerOptions(const caller_limits &limits)
 {
     return {
@@ -70,8 +87,11 @@
                              m_options.logDialect,
                              {.topic = m_options.decoders.declarationsTopic,
                               .log = m_options.settings.logAddress,
-                              .wait = fromSeconds(declarationsWaitShare * toSeconds(m_options.settings.convergenceTime))},
-                             {.onRecord = [this](const keyed_record &record, record_timing) { onDeclarations(record); }})
+                              .wait = fromSeconds(declarationsWaitShare * toSeconds(m_options.settings.convergenceTime)),
+                              .rereadDelay = rereadDelayOf(m_options.settings.instance),
+                              .rules = declarationRules(m_options.decoders)},
+                             {.onRecord = [this](const keyed_record &record, record_timing) { onDeclarations(record); },
+                              .onEpoch = [this](std::int64_t epoch) { m_endpointsFollower.noteEpoch(epoch); }})
     , m_endpointsFollower(m_loop,
                           m_log,
                           m_options.logDialect,
@@ -79,8 +99,11 @@
                            .log = m_options.settings.logAddress,
                            .period = fromSeconds(readPeriodShare * toSeconds(m_options.settings.maxDrainDelay)),
                            .timeout = fromSeconds(readTimeoutShare * toSeconds(m_options.settings.maxDrainDelay)),
-                           .maxBackoff = endpointsMaxBackoff},
-                          {.onRecord = [this](const keyed_record &record, record_timing timing) { onEndpointRecord(record, timing); }})
+                           .maxBackoff = endpointsMaxBackoff,
+                           .rereadDelay = rereadDelayOf(m_options.settings.instance),
+                           .rules = endpointRules(m_options.decoders)},
+                          {.onRecord = [this](const keyed_record &record, record_timing timing) { onEndpointRecord(record, timing); },
+                           .onEpoch = [this](std::int64_t epoch) { m_declarationsFollower.noteEpoch(epoch); }})
     , m_callerHooks(std::make_shared<caller_hooks>(
           caller_hooks{.onRequest = [this](const auto &caller, received_request &&request) { onRequest(caller, std::move(request)); },
                        .onDisconnected = [this](caller_connection &caller) { onCallerDisconnected(caller); },
@@ -110,6 +133,7 @@
         event_number::process_started,
         {{"instance", m_options.settings.instance}, {"zone", m_options.settings.availabilityZone}, {"callers", toString(m_options.settings.callerAddress)}});
     addGauges();
+    m_startedAt = m_loop.now();
     listen();
     startPeerExchange();
     m_declarationsFollower.start();
@@ -158,10 +182,18 @@
 {
     m_planner.onPeerDigest(toString(from), message.load, m_loop.now());
     m_context.onCapacityFreed();
-    const std::int64_t currentVersion = m_context.table == nullptr ? -1 : m_context.table->version();
-    if (message.declarationsVersion > currentVersion) {
+    m_hasHeardPeer = true;
+    m_newestPeerVersion = std::max(m_newestPeerVersion, message.declarationsVersion);
+    if (message.declarationsVersion > declarationsVersion()) {
         m_peerRecords->notePeerAhead(m_declarationsFollower.topic());
     }
+    m_declarationsFollower.noteEpoch(message.logEpoch);
+    m_endpointsFollower.noteEpoch(message.logEpoch);
+}
+
+std::int64_t gateway::declarationsVersion() const
+{
+    return m_context.table == nullptr ? -1 : m_context.table->version();
 }
 
 void gateway::addGauges()
@@ -172,21 +204,32 @@
     m_counters.addGauge("endpoint_connections_opened", [this] { return static_cast<double>(m_pool.openedConnections()); });
     m_counters.addGauge("endpoints_listed", [this] { return static_cast<double>(m_roster.size()); });
     m_counters.addGauge("live_entries", [this] { return static_cast<double>(m_planner.liveEntries(m_loop.now())); });
-    m_counters.addGauge("declarations_version", [this] { return m_context.table == nullptr ? -1.0 : static_cast<double>(m_context.table->version()); });
+    m_counters.addGauge("declarations_version", [this] { return static_cast<double>(declarationsVersion()); });
+    m_counters.addGauge("log_epoch", [this] { return static_cast<double>(m_endpointsFollower.epoch()); });
     m_counters.addGauge("declarations_age_seconds", [this] { return toSeconds(m_loop.now() - m_declarationsFollower.lastAnswer()); });
     m_counters.addGauge("endpoint_list_age_seconds", [this] { return toSeconds(m_loop.now() - m_endpointsFollower.lastAnswer()); });
 }
 
 entry_message gateway::composeMessage()
 {
-    return {.declarationsVersion = m_context.table == nullptr ? -1 : m_context.table->version(),
+    return {.declarationsVersion = declarationsVersion(),
             .isLeaving = m_leavingSince.has_value(),
-            .load = m_planner.digest(m_loop.now())};
+            .load = m_planner.digest(m_loop.now()),
+            .logEpoch = m_endpointsFollower.epoch()};
 }
 
 bool gateway::isReady() const
 {
-    return m_context.table != nullptr && m_endpointsFollower.isComplete() && !m_leavingSince;
+    return m_context.table != nullptr && m_endpointsFollower.isComplete() && !m_leavingSince && !isCatchingUpWithPeers();
+}
+
+bool gateway::isCatchingUpWithPeers() const
+{
+    const auto sinceStart = m_loop.now() - m_startedAt;
+    if (!m_hasHeardPeer) {
+        return !m_options.settings.seeds.empty() && m_options.settings.controlAddress && sinceStart < firstPeerMessageWait;
+    }
+    return m_newestPeerVersion > declarationsVersion() && sinceStart < startCatchUpTime;
 }
 
 void gateway::onCaller(int descriptor)
@@ -268,7 +311,7 @@
     }
     try {
         auto declared = m_options.decoders.declarations(*record.value);
-        const std::int64_t currentVersion = m_context.table == nullptr ? -1 : m_context.table->version();
+        const std::int64_t currentVersion = declarationsVersion();
         if (declared.version <= currentVersion) {
             return;
         }
@@ -319,11 +362,17 @@
     }
 }
 
+bool gateway::knowsEndpointsNow() const
+{
+    // An entry that the log does not answer learns of records from its peers.
+    return m_endpointsFollower.isReachable() || m_loop.now() - m_endpointsFollower.lastAnswer() < m_options.settings.maxDrainDelay;
+}
+
 void gateway::onTick()
 {
     std::vector<std::string> expired;
     for (const auto &[id, due] : m_pendingRemovals) {
-        if (m_loop.now() >= due && m_endpointsFollower.isReachable()) {
+        if (m_loop.now() >= due && knowsEndpointsNow()) {
             expired.push_back(id);
         }
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/log_follower.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/peer_records.h"
+#include "gateway/record_decoders.h"
 #include "gateway/request_session.h"
 #include "http/caller_connection.h"
 
@@ -19,16 +20,6 @@
 namespace wisteriashunt
 {
 
-/// Decoders of the platform's records. They throw shunt_error with the reason if a record is invalid.
-struct record_decoders
-{
-    std::function<routing_declarations(const std::string &value)> declarations;
-    std::function<endpoint_record(const std::string &key, const std::string &value)> endpoint;
-    std::string declarationsTopic;
-    std::string declarationsKey;
-    std::string endpointsTopic;
-};
-
 /// Settings and platform-specific functions of an entry.
 struct gateway_options
 {
@@ -74,6 +65,12 @@
     void beginLeaving();
     void continueLeaving();
     [[nodiscard]] bool isReady() const;
+    /// Whether this entry has just started and peers may have newer declarations. The log may have returned from a copy that lacks them.
+    [[nodiscard]] bool isCatchingUpWithPeers() const;
+    /// Version of the declarations in force; -1 if none.
+    [[nodiscard]] std::int64_t declarationsVersion() const;
+    /// Whether the list of endpoints was read recently, from the log or from a peer.
+    [[nodiscard]] bool knowsEndpointsNow() const;
     [[nodiscard]] entry_message composeMessage();
     void listen();
     void startPeerExchange();
@@ -103,6 +100,10 @@
     /// Endpoints whose records were removed around an outage of the log, and when the removal takes effect.
     std::map<std::string, time_point> m_pendingRemovals;
     std::optional<time_point> m_leavingSince;
+    time_point m_startedAt;
+    bool m_hasHeardPeer = false;
+    /// Highest version of the declarations that a peer has announced.
+    std::int64_t m_newestPeerVersion = -1;
 };
 
 } // namespace wisteriashunt
--- a/src/gateway/keyed_log.h
+++ b/src/gateway/keyed_log.h
@@ -1,6 +1,9 @@
 /// The platform's log as an entry reads it: topics in which the newest record of each key replaces the earlier ones.
 #pragma once
 
+#include "http/message.h"
+
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -11,13 +14,29 @@
 namespace wisteriashunt
 {
 
+/// A place in a topic. The log starts a new epoch when it returns from a copy that lacks its newest records; offsets of different epochs are
+/// unrelated.
+struct log_position
+{
+    std::int64_t epoch = 0;
+    std::int64_t offset = 0;
+
+    auto operator<=>(const log_position &) const = default;
+};
+
 /// One record. A record without a value removes its key.
 struct keyed_record
 {
     std::string key;
     std::optional<std::string> value;
     std::int64_t offset = 0;
+    /// Epoch in which the record was read.
+    std::int64_t epoch = 0;
 
+    [[nodiscard]] log_position position() const
+    {
+        return {.epoch = epoch, .offset = offset};
+    }
     bool operator==(const keyed_record &) const = default;
 };
 
@@ -34,9 +53,16 @@
 /// The newest record of every key up to an offset.
 struct keyed_snapshot
 {
-    /// Offset after the last record that was read.
+    /// Offset after the last record that was read; -1 if the topic has not been read completely. Then the records are some of its newest.
     std::int64_t next = 0;
     std::vector<keyed_record> records;
+    /// Epoch of that offset. Records may be of earlier ones.
+    std::int64_t epoch = 0;
+
+    [[nodiscard]] log_position position() const
+    {
+        return {.epoch = epoch, .offset = next};
+    }
 
     bool operator==(const keyed_snapshot &) const = default;
 };
@@ -52,7 +78,10 @@
     /// is none.
     std::function<std::string(std::string_view topic, std::int64_t from, std::int64_t waitMilliseconds)> recordsRequest;
     std::function<keyed_page(std::string_view body, std::int64_t from)> readRecords;
-    /// HTTP status of the log's answer if the requested records have been deleted.
+    /// Returns the epoch that an answer of the log names, or nothing if it names none. Throws shunt_error(platform_unavailable) if the epoch
+    /// is no number.
+    std::function<std::optional<std::int64_t>(const header_list &headers)> readEpoch;
+    /// HTTP status of the log's answer if it does not have the requested records: they have been deleted, or it ends before them.
     int deletedStatus = 0;
 };
 
--- a/src/gateway/log_follower.cpp
+++ b/src/gateway/log_follower.cpp
@@ -38,13 +38,14 @@
     , m_dialect(dialect)
     , m_options(options)
     , m_hooks(std::move(hooks))
+    , m_records(m_options.rules, [this](const keyed_record &record) { m_hooks.onRecord(record, m_timing); })
     , m_lastFailure(loop.now() - std::chrono::hours(1))
 {
 }
 
 void log_follower::start()
 {
-    readNewest({});
+    read();
 }
 
 bool log_follower::isReachable() const
@@ -67,37 +68,48 @@
     return m_options.topic;
 }
 
-keyed_snapshot log_follower::snapshot() const
+std::int64_t log_follower::epoch() const
 {
-    keyed_snapshot result{.next = m_next};
-    for (const auto &[key, record] : m_records) {
-        result.records.push_back(record);
+    return m_records.epoch();
+}
+
+void log_follower::noteEpoch(std::int64_t epoch)
+{
+    if (m_records.noteEpoch(epoch)) {
+        // Live endpoints write their records again after a return of the log, as after an outage.
+        m_lastFailure = m_loop.now();
+        m_hooks.onEpoch(epoch);
     }
-    return result;
+}
+
+keyed_snapshot log_follower::snapshot() const
+{
+    return m_records.snapshot();
 }
 
 void log_follower::merge(const keyed_snapshot &snapshot)
 {
-    if (snapshot.next <= m_next) {
+    m_timing = snapshot.epoch > m_records.epoch() ? record_timing::first_after_outage : record_timing::steady;
+    noteEpoch(snapshot.epoch);
+    if (!m_records.merge(snapshot)) {
         return;
     }
-    m_timing = record_timing::steady;
-    std::set<std::string> listed;
-    for (const auto &record : snapshot.records) {
-        listed.insert(record.key);
-        applyRecord(record);
-    }
-    dropUnlisted(listed, snapshot.next);
     m_lastAnswer = m_loop.now();
-    markCompleteUpTo(snapshot.next);
+    logEpochChange();
+    becomeComplete();
 }
 
-void log_follower::call(std::string request, duration wait, std::function<void(int, const std::string &)> onAnswer)
+void log_follower::read()
 {
+    const auto asked = m_records.nextRead();
+    const duration wait = asked.isNewest ? duration{} : m_options.wait;
+    const auto waitMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+    auto request = asked.isNewest ? m_dialect.newestRequest(m_options.topic, asked.afterKey)
+                                  : m_dialect.recordsRequest(m_options.topic, asked.from.offset, waitMilliseconds);
     if (m_connection == nullptr || !m_connection->isIdle()) {
         m_connection = upstream_connection::open(m_loop, m_options.log, {.connectTimeout = connectTimeout});
     }
-    const auto status = std::make_shared<int>(0);
+    const auto head = std::make_shared<http_response_head>();
     const auto body = std::make_shared<std::string>();
     m_timeout = m_loop.schedule(m_loop.now() + wait + m_options.timeout, [this] {
         m_connection->close();
@@ -105,15 +117,15 @@
     });
     m_connection->send(std::move(request),
                        {.onHead =
-                            [status](http_response_head &head) {
-                                *status = head.status;
+                            [head](http_response_head &received) {
+                                *head = received;
                                 return true;
                             },
                         .onBody = [body](std::string_view bytes) { body->append(bytes); },
                         .onComplete =
-                            [this, status, body, onAnswer = std::move(onAnswer)] {
+                            [this, asked, head, body] {
                                 m_loop.cancel(m_timeout);
-                                onAnswer(*status, *body);
+                                onAnswer(asked, *head, *body);
                             },
                         .onFailure =
                             [this](exchange_failure failure, close_reason end) {
@@ -122,108 +134,84 @@
                             }});
 }
 
-void log_follower::readNewest(const std::string &afterKey)
+std::optional<std::string> log_follower::noteEpochOf(const header_list &headers)
 {
-    if (afterKey.empty()) {
-        m_listed.clear();
-        m_resumeAt = -1;
-    }
-    call(m_dialect.newestRequest(m_options.topic, afterKey), {}, [this](int status, const std::string &body) {
-        if (status != okStatus) {
-            fail("status_" + std::to_string(status));
-            return;
+    try {
+        const auto epoch = m_dialect.readEpoch(headers);
+        if (epoch && *epoch < m_records.epoch()) {
+            return "outdated_epoch";
         }
-        try {
-            onNewestPage(m_dialect.readNewest(body));
-        } catch (const shunt_error &error) {
-            fail(error.what());
-        }
-    });
+        noteEpoch(epoch.value_or(m_records.epoch()));
+        return std::nullopt;
+    } catch (const shunt_error &error) {
+        return error.what();
+    }
 }
 
-void log_follower::onNewestPage(const keyed_page &page)
+void log_follower::onAnswer(const log_read &asked, const http_response_head &head, const std::string &body)
 {
-    succeed();
-    // Pages are not a consistent snapshot: records written while they are read are read again, starting at the end given by the first page.
-    if (m_resumeAt < 0) {
-        m_resumeAt = page.end;
-    }
-    for (const auto &record : page.records) {
-        m_listed.insert(record.key);
-        applyRecord(record);
+    if (const auto fault = noteEpochOf(head.headers)) {
+        // The answer may come over a connection to a part of the log that has not followed.
+        m_connection->close();
+        fail(*fault);
+        return;
     }
-    if (page.hasMore && !page.records.empty()) {
-        readNewest(page.records.back().key);
+    const bool isMissing = !asked.isNewest && head.status == m_dialect.deletedStatus;
+    if (head.status != okStatus && !isMissing) {
+        fail("status_" + std::to_string(head.status));
         return;
     }
-    dropUnlisted(m_listed, m_resumeAt);
-    markCompleteUpTo(m_resumeAt);
-    scheduleNext(m_options.period);
-}
-
-void log_follower::dropUnlisted(const std::set<std::string> &listed, std::int64_t end)
-{
-    std::vector<std::string> dropped;
-    for (const auto &[key, record] : m_records) {
-        if (!listed.contains(key) && record.offset < end) {
-            dropped.push_back(key);
+    try {
+        const auto page = isMissing ? keyed_page{} : asked.isNewest ? m_dialect.readNewest(body) : m_dialect.readRecords(body, asked.from.offset);
+        succeed();
+        if (m_records.hasNewEpoch()) {
+            m_timing = record_timing::first_after_outage;
         }
-    }
-    for (const auto &key : dropped) {
-        applyRecord({.key = key, .offset = end});
+        takeStep(isMissing ? m_records.onMissing(asked) : m_records.onPage(asked, page));
+    } catch (const shunt_error &error) {
+        fail(error.what());
     }
 }
 
-void log_follower::markCompleteUpTo(std::int64_t next)
+void log_follower::takeStep(read_step step)
 {
-    m_next = std::max(m_next, next);
-    if (!m_isComplete) {
-        m_isComplete = true;
-        m_hooks.onComplete();
+    switch (step) {
+    case read_step::read_on:
+        logEpochChange();
+        becomeComplete();
+        scheduleNext(m_options.period);
+        return;
+    case read_step::next_page:
+    case read_step::read_newest:
+        read();
+        return;
+    case read_step::read_new_epoch:
+        scheduleNext(m_options.rereadDelay);
+        return;
     }
 }
 
-void log_follower::readRecords()
+void log_follower::logEpochChange()
 {
-    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.wait);
-    // merge() may advance m_next during the call; the offsets of the answer are relative to the requested one.
-    const std::int64_t from = m_next;
-    call(m_dialect.recordsRequest(m_options.topic, from, wait.count()), m_options.wait, [this, from](int status, const std::string &body) {
-        if (status == m_dialect.deletedStatus) {
-            succeed();
-            readNewest({});
-            return;
-        }
-        if (status != okStatus) {
-            fail("status_" + std::to_string(status));
-            return;
-        }
-        try {
-            const auto page = m_dialect.readRecords(body, from);
-            succeed();
-            for (const auto &record : page.records) {
-                applyRecord(record);
-                m_next = std::max(m_next, record.offset + 1);
-            }
-            scheduleNext(m_options.period);
-        } catch (const shunt_error &error) {
-            fail(error.what());
-        }
-    });
+    const auto change = m_records.takeChange();
+    if (!change) {
+        return;
+    }
+    m_log.write(event_number::log_restored,
+                {{"topic", m_options.topic},
+                 {"before", std::to_string(change->before)},
+                 {"epoch", std::to_string(change->epoch)},
+                 {"superseded", std::to_string(change->superseded)},
+                 {"kept", std::to_string(change->kept)},
+                 {"removed", std::to_string(change->removed)}});
 }
 
-void log_follower::applyRecord(const keyed_record &record)
+void log_follower::becomeComplete()
 {
-    const auto known = m_records.find(record.key);
-    if (known != m_records.end() && known->second.offset >= record.offset) {
-        return;
-    }
-    if (record.value) {
-        m_records[record.key] = record;
-    } else {
-        m_records.erase(record.key);
+    if (!m_isComplete) {
+        m_isComplete = true;
+        m_hooks.onComplete();
     }
-    m_hooks.onRecord(record, m_timing);
 }
 
 void log_follower::succeed()
@@ -236,7 +224,10 @@
                                                             : record_timing::steady;
     if (hasRecovered) {
         m_isReachable = true;
-        m_log.write(event_number::platform_up, {{"topic", m_options.topic}, {"next", std::to_string(m_next)}});
+        m_log.write(event_number::platform_up,
+                    {{"topic", m_options.topic},
+                     {"next", m_records.next() ? std::to_string(m_records.next()->offset) : "-"},
+                     {"epoch", std::to_string(m_records.epoch())}});
     }
 }
 
@@ -253,14 +244,7 @@
 
 void log_follower::scheduleNext(duration pause)
 {
-    const auto action = [this] {
-        if (m_next < 0) {
-            readNewest({});
-        } else {
-            readRecords();
-        }
-    };
-    const timer_id timer = m_loop.schedule(m_loop.now() + pause, action);
+    const timer_id timer = m_loop.schedule(m_loop.now() + pause, [this] { read(); });
     static_cast<void>(timer);
 }
 
--- a/src/gateway/log_follower.h
+++ b/src/gateway/log_follower.h
@@ -2,13 +2,12 @@
 #pragma once
 
 #include "gateway/event_log.h"
-#include "gateway/keyed_log.h"
+#include "gateway/topic_records.h"
 #include "http/upstream_connection.h"
 
 #include <functional>
-#include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <string>
 
 namespace wisteriashunt
@@ -28,6 +27,9 @@
     /// Pause after a failed call. Doubles with each further failure, up to maxBackoff.
     duration initialBackoff = std::chrono::milliseconds(100);
     duration maxBackoff = std::chrono::milliseconds(800);
+    /// Pause before the topic is read anew in a higher epoch. Differs between entries, so that not all read at once.
+    duration rereadDelay{};
+    topic_rules rules;
 };
 
 /// When a record was read relative to an outage of the log. A removal that is read around an outage may be caused by it.
@@ -57,9 +59,12 @@
     std::function<void(const keyed_record &record, record_timing timing)> onRecord;
     /// Called once, when isComplete() becomes true.
     std::function<void()> onComplete = [] {};
+    /// Called when the log, or a snapshot, shows a higher epoch than all before.
+    std::function<void(std::int64_t epoch)> onEpoch = [](std::int64_t) {};
 };
 
 /// Follows one topic. Reads the newest record of each key first and later records from there on, and retries failed calls with backoff.
+/// When the log starts a new epoch, the topic is read anew once; answers of earlier epochs are discarded.
 class log_follower
 {
 public:
@@ -73,24 +78,28 @@
     [[nodiscard]] bool isReachable() const;
     /// Whether the whole topic has been read, or merged from a snapshot, at least once.
     [[nodiscard]] bool isComplete() const;
-    /// Time of the last answer of the log, or of the last snapshot that was merged.
+    /// Time of the last answer of the log, or of the last snapshot that was ahead of the known records.
     [[nodiscard]] time_point lastAnswer() const;
     [[nodiscard]] const std::string &topic() const;
+    /// Highest epoch of the log that was seen.
+    [[nodiscard]] std::int64_t epoch() const;
+    /// Notes an epoch that was seen elsewhere. If it is higher, the next call reads the topic anew.
+    void noteEpoch(std::int64_t epoch);
 
     /// The known records of the topic, for entries that the log does not answer.
     [[nodiscard]] keyed_snapshot snapshot() const;
 
-    /// Merges the records of another entry. Records older than the known ones are ignored.
+    /// Merges the records of another entry; see topic_records::merge().
     void merge(const keyed_snapshot &snapshot);
 
 private:
-    void readNewest(const std::string &afterKey);
-    void readRecords();
-    void call(std::string request, duration wait, std::function<void(int status, const std::string &body)> onAnswer);
-    void onNewestPage(const keyed_page &page);
-    void applyRecord(const keyed_record &record);
-    void dropUnlisted(const std::set<std::string> &listed, std::int64_t end);
-    void markCompleteUpTo(std::int64_t next);
+    void read();
+    void onAnswer(const log_read &asked, const http_response_head &head, const std::string &body);
+    /// Notes the epoch of an answer. Returns the reason if the answer must be discarded.
+    [[nodiscard]] std::optional<std::string> noteEpochOf(const header_list &headers);
+    void takeStep(read_step step);
+    void becomeComplete();
+    void logEpochChange();
     void succeed();
     void fail(const std::string &reason);
     void scheduleNext(duration pause);
@@ -101,10 +110,7 @@
     log_follower_options m_options;
     follower_hooks m_hooks;
     std::shared_ptr<upstream_connection> m_connection;
-    std::map<std::string, keyed_record> m_records;
-    std::set<std::string> m_listed;
-    std::int64_t m_next = -1;
-    std::int64_t m_resumeAt = 0;
+    topic_records m_records;
     timer_id m_timeout = 0;
     duration m_backoff{};
     time_point m_lastAnswer;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -16,13 +16,19 @@
 constexpr int formatVersion = 2;
 
 /// The last two members hold tokens by rank. Entries before them read the totals, and entries that read these two ignore the totals.
-using packed_load =
-    std::tuple<std::string, int, std::int64_t, int, int, std::int64_t, std::int64_t, std::vector<std::int64_t>, std::vector<std::int64_t>>;
+using packed_load = std::tuple<std::string, int, std::int64_t, int, int, std::int64_t, std::int64_t, std::vector<std::int64_t>, std::vector<std::int64_t>>;
 using packed_rate = std::tuple<std::string, double>;
 using packed_address = std::tuple<std::uint32_t, std::uint16_t>;
 using packed_placement = std::tuple<std::uint64_t, std::string>;
-using packed_message =
-    std::tuple<int, std::int64_t, bool, std::vector<packed_load>, std::vector<packed_rate>, std::vector<packed_placement>, std::vector<packed_address>>;
+/// The last member is the epoch of the log. Entries without epochs skip it.
+using packed_message = std::tuple<int,
+                                  std::int64_t,
+                                  bool,
+                                  std::vector<packed_load>,
+                                  std::vector<packed_rate>,
+                                  std::vector<packed_placement>,
+                                  std::vector<packed_address>,
+                                  std::int64_t>;
 
 /// Returns the tokens of each rank without trailing zeros.
 std::vector<std::int64_t> packRanks(const ranked_tokens &tokens)
@@ -73,7 +79,7 @@
         peers.emplace_back(peer.ip, peer.port);
     }
     msgpack::sbuffer buffer;
-    msgpack::pack(buffer, packed_message{formatVersion, message.declarationsVersion, message.isLeaving, loads, rates, placements, peers});
+    msgpack::pack(buffer, packed_message{formatVersion, message.declarationsVersion, message.isLeaving, loads, rates, placements, peers, message.logEpoch});
     return {buffer.data(), buffer.size()};
 }
 
@@ -81,12 +87,12 @@
 {
     try {
         const auto handle = msgpack::unpack(bytes.data(), bytes.size());
-        const auto [format, version, isLeaving, loads, rates, placements, peers] = handle.get().as<packed_message>();
+        const auto [format, version, isLeaving, loads, rates, placements, peers, logEpoch] = handle.get().as<packed_message>();
         if (format != formatVersion) {
             throw shunt_error(error_kind::malformed_frame,
                               "peer message: expected format " + std::to_string(formatVersion) + ", found " + std::to_string(format));
         }
-        entry_message message{.declarationsVersion = version, .isLeaving = isLeaving};
+        entry_message message{.declarationsVersion = version, .isLeaving = isLeaving, .logEpoch = logEpoch};
         for (const auto &[id, waiting, tokens, shortPrompts, longPrompts, longPromptTokens, recentTokens, waitingByRank, longByRank] : loads) {
             message.load.endpoints[id] = {.waiting = waiting,
                                           .waitingTokens = unpackRanks(waitingByRank, tokens),
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -25,6 +25,8 @@
     std::int64_t declarationsVersion = -1;
     bool isLeaving = false;
     load_digest load;
+    /// Highest epoch of the log that the sender has seen; 0 if it has seen none.
+    std::int64_t logEpoch = 0;
     /// Other entries from which the sender has received a message recently.
     std::vector<socket_address> peers;
 
--- a/src/gateway/peer_records.cpp
+++ b/src/gateway/peer_records.cpp
@@ -12,8 +12,9 @@
 namespace
 {
 
-using packed_record = std::tuple<std::string, std::string, std::int64_t>;
-using packed_snapshot = std::tuple<std::int64_t, std::vector<packed_record>>;
+/// The last member of each is the epoch. Entries without epochs send none, which reads as epoch 0, and skip those that they receive.
+using packed_record = std::tuple<std::string, std::string, std::int64_t, std::int64_t>;
+using packed_snapshot = std::tuple<std::int64_t, std::vector<packed_record>, std::int64_t>;
 
 constexpr std::string_view recordsPath = "/records/";
 constexpr std::chrono::milliseconds connectTimeout{300};
@@ -25,10 +26,10 @@
 {
     std::vector<packed_record> records;
     for (const auto &record : snapshot.records) {
-        records.emplace_back(record.key, record.value.value_or(""), record.offset);
+        records.emplace_back(record.key, record.value.value_or(""), record.offset, record.epoch);
     }
     msgpack::sbuffer buffer;
-    msgpack::pack(buffer, packed_snapshot{snapshot.next, records});
+    msgpack::pack(buffer, packed_snapshot{snapshot.next, records, snapshot.epoch});
     return {buffer.data(), buffer.size()};
 }
 
@@ -36,10 +37,10 @@
 {
     try {
         const auto handle = msgpack::unpack(bytes.data(), bytes.size());
-        const auto [next, records] = handle.get().as<packed_snapshot>();
-        keyed_snapshot snapshot{.next = next};
-        for (const auto &[key, value, offset] : records) {
-            snapshot.records.push_back({.key = key, .value = value, .offset = offset});
+        const auto [next, records, epoch] = handle.get().as<packed_snapshot>();
+        keyed_snapshot snapshot{.next = next, .epoch = epoch};
+        for (const auto &[key, value, offset, recordEpoch] : records) {
+            snapshot.records.push_back({.key = key, .value = value, .offset = offset, .epoch = recordEpoch});
         }
         return snapshot;
     } catch (const msgpack::type_error &) {
@@ -70,7 +71,7 @@
     constexpr int notFound = 404;
     const auto follower = std::find_if(
         m_followers.begin(), m_followers.end(), [&](const log_follower *each) { return request.target == std::string(recordsPath) + each->topic(); });
-    const bool isKnown = follower != m_followers.end() && (*follower)->isComplete();
+    const bool isKnown = follower != m_followers.end();
     const int status = isKnown ? okStatus : notFound;
     std::string head;
     appendResponseHead(head, status, reasonPhrase(status), {});
--- a/src/gateway/peer_records.h
+++ b/src/gateway/peer_records.h
@@ -1,6 +1,7 @@
 /// Exchange of the platform's records between entries, for entries that the platform's log does not answer.
 ///
-/// One HTTP call at the control address, answered with a msgpack body. Records carry their offsets in the log, so older copies are ignored.
+/// One HTTP call at the control address, answered with a msgpack body. Records carry their epochs and offsets in the log, so older copies
+/// are ignored.
 #pragma once
 
 #include "gateway/event_log.h"
--- /dev/null
+++ b/src/gateway/topic_records.cpp
@@ -0,0 +1,215 @@
+#include "gateway/topic_records.h"
+
+#include <utility>
+
+namespace wisteriashunt
+{
+
+topic_records::topic_records(topic_rules rules, change_hook onChange)
+    : m_rules(std::move(rules))
+    , m_onChange(std::move(onChange))
+{
+}
+
+bool topic_records::noteEpoch(std::int64_t epoch)
+{
+    if (epoch <= m_epoch) {
+        return false;
+    }
+    // An entry that knows nothing yet has no earlier epoch from which anything could change.
+    if (m_next || !m_records.empty()) {
+        m_change = epoch_change{.before = m_change ? m_change->before : m_epoch, .epoch = epoch};
+    }
+    m_epoch = epoch;
+    m_next.reset();
+    m_pageKey.clear();
+    return true;
+}
+
+std::int64_t topic_records::epoch() const
+{
+    return m_epoch;
+}
+
+std::optional<log_position> topic_records::next() const
+{
+    return m_next;
+}
+
+log_read topic_records::nextRead() const
+{
+    if (m_next) {
+        return {.isNewest = false, .from = *m_next};
+    }
+    return {.afterKey = m_pageKey, .from = {.epoch = m_epoch}};
+}
+
+read_step topic_records::onPage(const log_read &read, const keyed_page &page)
+{
+    if (read.isNewest) {
+        return onNewestPage(read, page);
+    }
+    if (read.from.epoch != m_epoch) {
+        // The offsets of the call were those of another epoch.
+        return read_step::read_new_epoch;
+    }
+    for (const auto &record : page.records) {
+        applyAt(record, m_epoch);
+        const log_position after{.epoch = m_epoch, .offset = record.offset + 1};
+        if (m_next && *m_next < after) {
+            moveTo(after);
+        }
+    }
+    return read_step::read_on;
+}
+
+read_step topic_records::onNewestPage(const log_read &read, const keyed_page &page)
+{
+    if (read.afterKey.empty()) {
+        m_listed.clear();
+        m_firstPageEnd = page.end;
+    } else if (read.from.epoch != m_epoch) {
+        // The pages before were those of another epoch.
+        return read_step::read_new_epoch;
+    }
+    for (const auto &record : page.records) {
+        m_listed.insert(record.key);
+        applyAt(record, m_epoch);
+    }
+    if (page.hasMore && !page.records.empty()) {
+        m_pageKey = page.records.back().key;
+        return read_step::next_page;
+    }
+    m_pageKey.clear();
+    const log_position end{.epoch = m_epoch, .offset = m_firstPageEnd};
+    removeUnlisted(m_listed, end);
+    if (!m_next || *m_next < end) {
+        moveTo(end);
+    }
+    return read_step::read_on;
+}
+
+void topic_records::moveTo(const log_position &position)
+{
+    m_next = position;
+    m_knownUpTo = position;
+}
+
+read_step topic_records::onMissing(const log_read &read)
+{
+    if (read.from.epoch != m_epoch) {
+        return read_step::read_new_epoch;
+    }
+    m_pageKey.clear();
+    m_next.reset();
+    return read_step::read_newest;
+}
+
+bool topic_records::hasNewEpoch() const
+{
+    return m_change.has_value();
+}
+
+std::optional<epoch_change> topic_records::takeChange()
+{
+    return m_next ? std::exchange(m_change, std::nullopt) : std::nullopt;
+}
+
+keyed_snapshot topic_records::snapshot() const
+{
+    keyed_snapshot result{.next = m_knownUpTo.offset, .epoch = m_knownUpTo.epoch};
+    for (const auto &[key, record] : m_records) {
+        result.records.push_back(record);
+    }
+    return result;
+}
+
+bool topic_records::merge(const keyed_snapshot &snapshot)
+{
+    noteEpoch(snapshot.epoch);
+    const bool isAhead = snapshot.next >= 0 && snapshot.epoch == m_epoch && (!m_next || *m_next < snapshot.position());
+    std::set<std::string> listed;
+    for (const auto &record : snapshot.records) {
+        listed.insert(record.key);
+        // A key that is unknown here was removed, unless the other entry is ahead or the log lost it before this entry read it.
+        const bool mayBeLost = m_rules.keepsLostRecords && record.epoch < m_epoch;
+        if (isAhead || mayBeLost || m_records.contains(record.key)) {
+            apply(record);
+        }
+    }
+    if (!isAhead) {
+        return false;
+    }
+    removeUnlisted(listed, snapshot.position());
+    moveTo(snapshot.position());
+    return true;
+}
+
+bool topic_records::supersedes(const keyed_record &candidate, const keyed_record &known) const
+{
+    if (candidate.epoch == known.epoch) {
+        return candidate.offset > known.offset;
+    }
+    if (candidate.epoch > known.epoch) {
+        return !candidate.value || !m_rules.isOlder(candidate, known);
+    }
+    return candidate.value && m_rules.isOlder(known, candidate);
+}
+
+void topic_records::applyAt(keyed_record record, std::int64_t epoch)
+{
+    record.epoch = epoch;
+    // All records before m_next are known. A snapshot of another entry may have moved it during the call, and the key was removed by then.
+    const bool isRemoved = m_next && record.position() < *m_next && !m_records.contains(record.key);
+    if (!isRemoved) {
+        apply(record);
+    }
+}
+
+void topic_records::apply(const keyed_record &record)
+{
+    const auto known = m_records.find(record.key);
+    if (known != m_records.end()) {
+        const bool isOtherEpoch = record.epoch > known->second.epoch;
+        if (!supersedes(record, known->second)) {
+            if (m_change && isOtherEpoch) {
+                ++m_change->kept;
+            }
+            return;
+        }
+        if (m_change && isOtherEpoch && record.value) {
+            ++m_change->superseded;
+        }
+    }
+    if (record.value) {
+        m_records[record.key] = record;
+    } else {
+        m_records.erase(record.key);
+    }
+    m_onChange(record);
+}
+
+void topic_records::removeUnlisted(const std::set<std::string> &listed, const log_position &end)
+{
+    std::vector<std::string> missing;
+    for (const auto &[key, record] : m_records) {
+        if (!listed.contains(key) && record.position() < end) {
+            missing.push_back(key);
+        }
+    }
+    for (const auto &key : missing) {
+        const bool isLost = m_records.at(key).epoch < end.epoch;
+        if (isLost && m_rules.keepsLostRecords) {
+            if (m_change) {
+                ++m_change->kept;
+            }
+            continue;
+        }
+        if (m_change) {
+            ++m_change->removed;
+        }
+        apply({.key = key, .offset = end.offset, .epoch = end.epoch});
+    }
+}
+
+} // namespace wisteriashunt
--- /dev/null
+++ b/src/gateway/topic_records.h
@@ -0,0 +1,120 @@
+/// The newest known record of each key of one topic, and what to read next from the log. Without I/O and clock.
+///
+/// Within an epoch, offsets order the records. Across epochs they do not: the log may have returned from a copy that lacks its newest
+/// records. There the records' own contents decide, so that what a record states never goes back.
+#pragma once
+
+#include "gateway/keyed_log.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace wisteriashunt
+{
+
+/// Properties of a topic's records that decide between records of different epochs.
+struct topic_rules
+{
+    /// Whether the first record is an older state of the key than the second one, by their contents. Both have values.
+    std::function<bool(const keyed_record &first, const keyed_record &second)> isOlder = [](const keyed_record &, const keyed_record &) { return false; };
+    /// Whether records that a new epoch lacks are kept. Otherwise they are removed.
+    bool keepsLostRecords = false;
+};
+
+/// What the first reading of a new epoch changed.
+struct epoch_change
+{
+    std::int64_t before = 0;
+    std::int64_t epoch = 0;
+    /// Records of earlier epochs that were replaced.
+    int superseded = 0;
+    /// Records of earlier epochs that are newer than those that were read, or that the log lacks, and are kept.
+    int kept = 0;
+    /// Records of earlier epochs that the log lacks and that were removed.
+    int removed = 0;
+
+    bool operator==(const epoch_change &) const = default;
+};
+
+/// A call to the log: one page of the newest record of each key, or the records from a place on.
+struct log_read
+{
+    /// The newest records are read, starting after afterKey unless that is empty.
+    bool isNewest = true;
+    std::string afterKey;
+    /// Place from which records are read; for newest records, its epoch alone is set, to the one known at the call.
+    log_position from;
+
+    bool operator==(const log_read &) const = default;
+};
+
+/// What to do after an answer of the log.
+enum class read_step {
+    /// Read on after the usual pause.
+    read_on,
+    /// Read the next page at once.
+    next_page,
+    /// The answer is of no use: read the newest records at once.
+    read_newest,
+    /// The same, but the log has started a new epoch, at which all entries read.
+    read_new_epoch,
+};
+
+/// Known records of a topic.
+class topic_records
+{
+public:
+    /// Called with each record that replaces the known one of its key, or removes it.
+    using change_hook = std::function<void(const keyed_record &record)>;
+
+    topic_records(topic_rules rules, change_hook onChange);
+
+    /// Notes that the log has reached an epoch. Returns true if it is higher than all before; the topic is then read anew.
+    bool noteEpoch(std::int64_t epoch);
+    [[nodiscard]] std::int64_t epoch() const;
+    /// Whether a higher epoch was noted and has not been read completely.
+    [[nodiscard]] bool hasNewEpoch() const;
+    /// Returns once, after the first complete reading or merge of a higher epoch, what it changed.
+    std::optional<epoch_change> takeChange();
+
+    /// Place from which to read on; nothing if the newest records must be read first.
+    [[nodiscard]] std::optional<log_position> next() const;
+    [[nodiscard]] log_read nextRead() const;
+    /// Applies the answer to a call. The epoch of the answer must have been noted before.
+    read_step onPage(const log_read &read, const keyed_page &page);
+    /// The log does not have the records that the call asked for.
+    read_step onMissing(const log_read &read);
+
+    [[nodiscard]] keyed_snapshot snapshot() const;
+    /// Merges the records that another entry knows. Returns false if its place in the log is not ahead of the own one.
+    bool merge(const keyed_snapshot &snapshot);
+
+private:
+    read_step onNewestPage(const log_read &read, const keyed_page &page);
+    void moveTo(const log_position &position);
+    void applyAt(keyed_record record, std::int64_t epoch);
+    void apply(const keyed_record &record);
+    [[nodiscard]] bool supersedes(const keyed_record &candidate, const keyed_record &known) const;
+    void removeUnlisted(const std::set<std::string> &listed, const log_position &end);
+
+    topic_rules m_rules;
+    change_hook m_onChange;
+    std::map<std::string, keyed_record> m_records;
+    std::int64_t m_epoch = 0;
+    std::optional<log_position> m_next;
+    /// The last value of m_next; offset -1 if there was none.
+    log_position m_knownUpTo{.offset = -1};
+    /// Keys of the pages read so far, the last of them if more pages follow, and the end of the topic that the first page gave. Pages are not
+    /// a consistent snapshot, so records written while they are read are read again from that end on.
+    std::set<std::string> m_listed;
+    std::string m_pageKey;
+    std::int64_t m_firstPageEnd = 0;
+    /// What has changed since a higher epoch was noted.
+    std::optional<epoch_change> m_change;
+};
+
+} // namespace wisteriashunt
--- a/test/entry_standins.cpp
+++ b/test/entry_standins.cpp
@@ -63,7 +63,29 @@
 void fake_log::put(const std::string &topic, const std::string &key, const std::optional<std::string> &value)
 {
     const std::lock_guard lock(m_mutex);
-    m_topics[topic].push_back({.key = key, .value = value});
+    m_topics[topic].push_back({.key = key, .value = value, .appendedAt = std::chrono::steady_clock::now()});
+}
+
+void fake_log::restore(std::chrono::milliseconds age)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto copiedAt = std::chrono::steady_clock::now() - age;
+    for (auto &[topic, records] : m_topics) {
+        std::erase_if(records, [&](const appended_record &record) { return record.appendedAt > copiedAt; });
+    }
+    m_namedEpoch = std::to_string(++m_epoch);
+}
+
+void fake_log::nameEpoch(const std::string &text)
+{
+    const std::lock_guard lock(m_mutex);
+    m_namedEpoch = text;
+}
+
+std::string fake_log::head(const std::string &statusLine) const
+{
+    const std::lock_guard lock(m_mutex);
+    return statusLine + "\r\n" + (m_namedEpoch.empty() ? "" : "Store-Era: " + m_namedEpoch + "\r\n");
 }
 
 void fake_log::putEndpoint(const std::string &id, std::uint16_t port, const std::string &state)
@@ -105,14 +127,17 @@
     constexpr std::chrono::milliseconds pollInterval{10};
     const auto topic = queryField(request.target, "topic");
     if (request.target.find("log-newest") != std::string::npos) {
-        return {.parts = {withLength("HTTP/1.1 200 OK\r\n", newest(topic))}};
+        return {.parts = {withLength(head("HTTP/1.1 200 OK"), newest(topic))}};
     }
     const auto from = numberField(request.target, "from");
     const std::chrono::milliseconds wait(numberField(request.target, "wait_ms"));
     for (std::chrono::milliseconds waited{0}; waited < wait && endOf(topic) <= from && !m_isStopping; waited += pollInterval) {
         std::this_thread::sleep_for(pollInterval);
     }
-    return {.parts = {withLength("HTTP/1.1 200 OK\r\n", recordsFrom(topic, from))}};
+    if (from > endOf(topic)) {
+        return {.parts = {withLength(head("HTTP/1.1 410 Gone"), R"({"first":0})")}};
+    }
+    return {.parts = {withLength(head("HTTP/1.1 200 OK"), recordsFrom(topic, from))}};
 }
 
 std::string fake_log::newest(const std::string &topic) const
--- a/test/entry_standins.h
+++ b/test/entry_standins.h
@@ -4,6 +4,7 @@
 #include "loopback_server.h"
 
 #include <atomic>
+#include <chrono>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -31,6 +32,14 @@
     /// Deletes an endpoint's record.
     void dropEndpoint(const std::string &id);
 
+    /// Returns from a copy that lacks what was appended within the age: the topics end earlier, their offsets are given out again, and the
+    /// epoch, which is named in every answer from then on, rises by one.
+    void restore(std::chrono::milliseconds age);
+    /// Names this text as the epoch instead.
+    void nameEpoch(const std::string &text);
+    /// Number of records in a topic.
+    [[nodiscard]] std::size_t endOf(const std::string &topic) const;
+
     [[nodiscard]] std::uint16_t port() const;
     [[nodiscard]] std::vector<received_request> requests() const;
 
@@ -39,16 +48,21 @@
     {
         std::string key;
         std::optional<std::string> value;
+        std::chrono::steady_clock::time_point appendedAt;
     };
 
     [[nodiscard]] scripted_response serve(const received_request &request);
     [[nodiscard]] std::string newest(const std::string &topic) const;
     [[nodiscard]] std::string recordsFrom(const std::string &topic, std::size_t from) const;
-    [[nodiscard]] std::size_t endOf(const std::string &topic) const;
+    /// Status line and fields of an answer, without the length.
+    [[nodiscard]] std::string head(const std::string &statusLine) const;
 
     mutable std::mutex m_mutex;
     std::map<std::string, std::vector<appended_record>> m_topics;
     int m_sequence = 0;
+    int m_epoch = 0;
+    /// Value of the field that names the epoch; none is sent if empty.
+    std::string m_namedEpoch;
     std::atomic<bool> m_isStopping{false};
     loopback_server m_server;
 };
--- a/test/gateway_test.cpp
+++ b/test/gateway_test.cpp
@@ -301,6 +301,49 @@
     EXPECT_TRUE(callOnceAt(ports.callers, request("/book/1")).ends_with("served"));
 }
 
+TEST_F(gateway_test, AStartingEntryTakesDeclarationsThatTheLogHasLostFromAPeer)
+{
+    start([](const received_request &got) { return ok(got, "served"); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+    auto declared = declarationsForTests();
+    declared["version"] = 2;
+    declared["routes"][0]["path_prefix"] = "/added/";
+    m_log.put("keyed.op", "config", declared.dump());
+    while (!callOnce(request("/added/1")).ends_with("served")) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    m_log.restore(std::chrono::hours(1));
+    m_log.put("keyed.op", "config", declarationsForTests().dump());
+    m_log.putEndpoint("e0", m_endpoints[0]->port());
+    const entry_ports ports;
+    launch(settingsForTests(ports, m_log.port(), {m_ports.control}));
+    waitUntilReady(ports.readiness);
+    EXPECT_TRUE(callOnceAt(ports.callers, request("/added/1")).ends_with("served")) << "the log holds version 1 only";
+    EXPECT_TRUE(callOnce(request("/added/1")).ends_with("served")) << "an entry went back to version 1";
+}
+
+TEST_F(gateway_test, AnEntryThatTheLogRefusesFollowsItThroughAReturnFromACopy)
+{
+    start([](const received_request &got) { return ok(got, "first"); }, [](const received_request &got) { return ok(got, "second"); });
+    const entry_ports ports;
+    const auto closedLog = freePort();
+    launch(settingsForTests(ports, closedLog, {m_ports.control}));
+    waitUntilReady(ports.readiness);
+    m_log.restore(std::chrono::hours(1));
+    m_log.put("keyed.op", "config", declarationsForTests().dump());
+    m_log.putEndpoint("e1", m_endpoints[1]->port());
+    // The log lacks e0, which is kept for a while, as after an outage, and then taken as gone.
+    int answersInARow = 0;
+    constexpr int wanted = 10;
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (answersInARow < wanted && std::chrono::steady_clock::now() < end) {
+        answersInARow = callOnceAt(ports.callers, request("/book/1")).ends_with("second") ? answersInARow + 1 : 0;
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        m_log.putEndpoint("e1", m_endpoints[1]->port());
+    }
+    EXPECT_EQ(answersInARow, wanted) << "the refused entry still sends to an endpoint that is gone";
+}
+
 TEST_F(gateway_test, RefusesRequestsBeyondTheBodyMemoryLimit)
 {
     m_memoryBytes = 200'000;
