--- a/test/entry_soak_test.cpp
+++ b/test/entry_soak_test.cpp
@@ -85,6 +85,13 @@
     }
 };
 
+/// Seed of the order of the faults; WISTERIASHUNT_SOAK_SEED sets another one.
+unsigned soakSeed()
+{
+    const char *text = std::getenv("WISTERIASHUNT_SOAK_SEED");
+    return text == nullptr ? 20261204U : static_cast<unsigned>(std::stoul(text));
+}
+
 std::string eventOf(const std::string &attempt, int number)
 {
     return "id: " + std::to_string(number) + "\ndata: " + attempt + "\n\n";
@@ -144,6 +151,24 @@
         m_processes[entry] = startProcess({SHUNT_ENTRY}, settingsPath(entry) + ".log", {std::string(platform::settingsVariable) + "=" + settingsPath(entry)});
     }
 
+    /// Returns the log from a copy that is older than the faults before; what was written since is written again somewhat later.
+    void restoreLog(const std::function<void()> &meanwhile = [] {})
+    {
+        m_log.restore(std::chrono::milliseconds(2500));
+        meanwhile();
+        sleepMilliseconds(700);
+        m_log.put("keyed.op", "config", declarationsForTests().dump());
+        const std::array<std::string, endpoints> ids{"e0", "e1", m_thirdEndpoint};
+        for (int i = 0; i < endpoints; ++i) {
+            m_log.putEndpoint(ids[i], m_links[i]->port());
+        }
+        // Records of endpoints that are gone expire.
+        if (m_thirdEndpoint != "e2") {
+            m_log.dropEndpoint("e2");
+        }
+        sleepMilliseconds(700);
+    }
+
     /// Waits until an entry exits. Returns its exit status, or the negated number of the signal that killed it.
     int waitForEnd(int entry)
     {
@@ -178,6 +203,8 @@
     std::array<entry_ports, entries> m_ports;
     std::array<pid_t, entries> m_processes{};
     std::atomic<bool> m_isBeforeFaults{true};
+    /// ID of the endpoint behind the third link.
+    std::string m_thirdEndpoint = "e2";
 
 private:
     /// Probes readiness like the platform's balancer: an entry that fails two probes in a row gets no new connections.
@@ -342,9 +369,17 @@
             m_log.dropEndpoint("e2");
             sleepMilliseconds(800);
             m_log.putEndpoint("e3", m_links[2]->port());
+            m_thirdEndpoint = "e3";
+        },
+        [this] { restoreLog(); },
+        [this] {
+            // An entry starts while the log lacks what was written last.
+            kill(m_processes[1], SIGKILL);
+            EXPECT_EQ(waitForEnd(1), -SIGKILL);
+            restoreLog([this] { launch(1); });
         },
     };
-    std::mt19937 random(20261204);
+    std::mt19937 random(soakSeed());
     std::shuffle(faults.begin(), faults.end(), random);
     for (const auto &fault : faults) {
         fault();
