Bound the load messages that an entry sends a second

Cause: with 28 entries, each sent 540 messages a second to the others.

Change: an entry sends at most 250 a second; with 27 peers, a round every 100 ms instead of every 50 ms, and never more than idlePeriod apart. Fleets of up to 13 entries send as before.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -155,16 +155,28 @@
     return peers;
 }
 
+duration messagePeriod(const peer_exchange_options &options, std::size_t recipients)
+{
+    const auto bounded = fromSeconds(static_cast<double>(recipients) / options.maxMessagesPerSecond);
+    return std::clamp(bounded, options.busyPeriod, options.idlePeriod);
+}
+
 void peer_exchange::broadcast()
 {
+    const auto peers = recipients();
+    // Called every busyPeriod; a round is due at the call that is nearest to its time.
+    const auto sinceLast = m_loop.now() - m_lastBroadcast + m_options.busyPeriod / 2;
+    if (sinceLast < messagePeriod(m_options, peers.size())) {
+        return;
+    }
     auto message = m_compose();
-    if (message.load == load_digest{} && m_loop.now() - m_lastBroadcast < m_options.idlePeriod) {
+    if (message.load == load_digest{} && sinceLast < m_options.idlePeriod) {
         return;
     }
     m_lastBroadcast = m_loop.now();
     message.peers = livePeers();
     const auto bytes = encodeEntryMessage(message);
-    for (const auto &peer : recipients()) {
+    for (const auto &peer : peers) {
         // A failed send is treated like a lost datagram; the next message replaces it.
         m_socket.send(peer, bytes);
     }
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -43,6 +43,8 @@
 {
     /// Time between two messages while there is load: a tenth of the shortest first-byte target, so that placement uses fresh loads.
     duration busyPeriod = std::chrono::milliseconds(50);
+    /// Bounds the messages that an entry sends: with many peers, rounds of messages are further apart than busyPeriod.
+    double maxMessagesPerSecond = 250;
     /// Time between two messages while there is no load.
     duration idlePeriod = std::chrono::milliseconds(500);
     /// A peer from which no message has come for this long is no longer reported to others. Peers that others report are contacted for as
@@ -53,6 +55,9 @@
     socket_address self;
 };
 
+/// Returns the time between two rounds of messages to that many recipients while there is load.
+[[nodiscard]] duration messagePeriod(const peer_exchange_options &options, std::size_t recipients);
+
 /// Sends this entry's messages periodically and passes received ones to a callback.
 class peer_exchange
 {
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -343,6 +343,16 @@
     EXPECT_EQ(decodeEntryMessage(encodeEntryMessage(message)), message);
 }
 
+TEST(peer_exchange_test, BoundsTheMessagesASecondOfAnEntryWithManyPeers)
+{
+    const peer_exchange_options options;
+    EXPECT_EQ(messagePeriod(options, 3), options.busyPeriod);
+    for (const std::size_t peers : {27, 60, 120}) {
+        EXPECT_LE(static_cast<double>(peers) / toSeconds(messagePeriod(options, peers)), options.maxMessagesPerSecond + 1) << peers << " peers";
+    }
+    EXPECT_EQ(messagePeriod(options, 1900), options.idlePeriod) << "digests would expire";
+}
+
 TEST(entry_message_test, CountsTokensWithoutRanksAsTheMostUrgent)
 {
     // A load as entries without ranks send it: it ends after recentTokens.
