Split what an entry knows of the endpoints from the choice among them

placement.cpp had two jobs: it tracked loads, speeds and cached parts, and it chose. load_tracker now knows, placement_planner chooses. Factors for engines with cached parts, the advantage of the own zone and the weight of new observations become options, and less urgent work can be counted again, so that each mechanism can be switched off for a measurement. Behaviour is as it was.

--- /dev/null
+++ b/src/dispatch/load_tracker.h
@@ -0,0 +1,162 @@
+/// What an entry knows of the endpoints: the work of all entries there, the observed speed, and the prompt parts that they have cached.
+#pragma once
+
+#include "dispatch/ranked_tokens.h"
+#include "gateway/wire_dialect.h"
+#include "wisteriashunt/time.h"
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace wisteriashunt
+{
+
+/// Work queued or running at one endpoint.
+struct endpoint_load
+{
+    /// Requests that were sent and whose answers have not begun.
+    int waiting = 0;
+    /// Uncached prompt tokens of the waiting requests.
+    ranked_tokens waitingTokens;
+    /// Short-prompt requests, waiting or running.
+    int shortPrompts = 0;
+    /// Long-prompt requests, waiting or running.
+    int longPrompts = 0;
+    /// Uncached prompt tokens of the long-prompt requests, waiting or running.
+    ranked_tokens longPromptTokens;
+    /// Uncached prompt tokens that were sent recently, of long and short prompts. Decays exponentially with the time constant
+    /// load_tracker_options::recentTokensDecayTime.
+    std::int64_t recentTokens = 0;
+
+    [[nodiscard]] int total() const
+    {
+        return shortPrompts + longPrompts;
+    }
+    bool operator==(const endpoint_load &) const = default;
+};
+
+/// A shared part of a prompt that was sent to an endpoint, which is then expected to have it cached.
+struct part_placement
+{
+    std::uint64_t part = 0;
+    std::string endpointId;
+
+    bool operator==(const part_placement &) const = default;
+};
+
+/// The load of one entry, as it reports it to its peers. Loads and rates replace those of the previous digest; placements accumulate.
+struct load_digest
+{
+    std::map<std::string, endpoint_load> endpoints;
+    /// Prompt tokens of short-prompt requests per second, by service.
+    std::map<std::string, double> shortPromptTokensPerSecond;
+    /// Placements since the last digest.
+    std::vector<part_placement> placements;
+
+    bool operator==(const load_digest &) const = default;
+};
+
+/// Settings of a load_tracker.
+struct load_tracker_options
+{
+    /// Time for which a peer's digest is valid: twice the period in which peers without load send them (peer_exchange_options::idlePeriod).
+    duration digestLifetime = std::chrono::milliseconds(1000);
+    /// Time constant with which endpoint_load::recentTokens decays: about the longest acceptable pause in the stream of a short prompt.
+    duration recentTokensDecayTime = std::chrono::milliseconds(300);
+    /// Time since its last use for which a shared part is assumed to be cached by an engine. Current engines keep parts longer.
+    duration partLifetime = std::chrono::seconds(20);
+    /// Weight of the newest observation in an endpoint's slowness.
+    double slownessSmoothing = 0.15;
+};
+
+/// Work that a request adds at an endpoint.
+struct sent_work
+{
+    std::string endpointId;
+    std::int64_t uncachedTokens = 0;
+    int rank = 0;
+    bool isLongPrompt = false;
+};
+
+/// Tracks the work of this entry, and that of its peers as they report it. Not thread-safe.
+class load_tracker
+{
+public:
+    explicit load_tracker(const load_tracker_options &options);
+
+    /// Records that a request was sent. Each onSent() must be followed by exactly one onFinished(), with onFirstByte() before it if an
+    /// answer began.
+    void onSent(const sent_work &work);
+    void onFirstByte(const sent_work &work);
+    void onFinished(const sent_work &work, bool hadFirstByte);
+
+    /// Records tokens that an engine was sent to prefill.
+    void recordPrefill(const std::string &endpointId, std::int64_t tokens, time_point now);
+    /// Records that the shared parts of a prompt were sent to an engine, which then has them cached.
+    void recordParts(const std::vector<prompt_part> &prompt, const std::string &endpointId, time_point now);
+    /// Records the prompt tokens of a short-prompt request.
+    void recordShortPrompt(const std::string &service, std::int64_t tokens, time_point now);
+    /// Records how long a first byte took in relation to the prediction.
+    void recordSlowness(const std::string &endpointId, double ratioToPrediction, time_point now);
+
+    /// Returns this entry's own load, to be sent to its peers. Also discards the state of endpoints that are no longer in use.
+    [[nodiscard]] load_digest digest(time_point now);
+    void onPeerDigest(const std::string &peer, load_digest digest, time_point now);
+    /// Returns the number of entries with a valid digest, including this one.
+    [[nodiscard]] std::size_t liveEntries(time_point now) const;
+
+    /// Returns the load of an endpoint, summed over all entries.
+    [[nodiscard]] endpoint_load loadOf(const std::string &endpointId, time_point now) const;
+    /// Returns the factor by which first bytes of the endpoint take longer than predicted.
+    [[nodiscard]] double slownessOf(const std::string &endpointId, time_point now) const;
+    /// Returns the tokens of the prompt's shared parts that the endpoint is expected to have cached. A part is of use only if all parts
+    /// before it are cached too.
+    [[nodiscard]] std::int64_t cachedTokens(const std::vector<prompt_part> &prompt, const std::string &endpointId, time_point now) const;
+    /// Returns the prompt tokens of short-prompt requests per second, summed over all entries.
+    [[nodiscard]] double shortPromptTokensPerSecond(const std::string &service, time_point now);
+    /// Returns the number of endpoints for which state is held.
+    [[nodiscard]] std::size_t trackedEndpoints() const
+    {
+        return m_endpoints.size();
+    }
+
+private:
+    /// This entry's own load at an endpoint and the endpoint's observed speed. load.recentTokens stays 0 in favor of the member below.
+    struct endpoint_state
+    {
+        endpoint_load load;
+        /// Tokens sent recently, decayed up to recentAt.
+        double recentTokens = 0;
+        time_point recentAt;
+        /// Factor by which first bytes take longer than predicted.
+        double slowness = 1;
+        time_point slownessAt;
+    };
+    struct peer_state
+    {
+        load_digest digest;
+        time_point receivedAt;
+    };
+    struct token_rate
+    {
+        double tokensPerSecond = 0;
+        time_point at;
+    };
+
+    void recordPart(std::uint64_t part, const std::string &endpointId, time_point now);
+    void decayRate(token_rate &rate, time_point now) const;
+    [[nodiscard]] double decayed(double tokens, duration age) const;
+
+    load_tracker_options m_options;
+    std::unordered_map<std::string, endpoint_state> m_endpoints;
+    std::map<std::string, peer_state> m_peers;
+    /// Prompt tokens of this entry's short-prompt requests, by service.
+    std::unordered_map<std::string, token_rate> m_shortPromptRates;
+    std::vector<part_placement> m_newPlacements;
+    /// Last use of each prompt part, by part and endpoint.
+    std::unordered_map<std::uint64_t, std::unordered_map<std::string, time_point>> m_parts;
+};
+
+} // namespace wisteriashunt
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -6,14 +6,10 @@
 /// group takes up most engines, long prompts also go to engines in it, at a rate that keeps the pauses of the streams there within bounds.
 #pragma once
 
-#include "dispatch/ranked_tokens.h"
-#include "gateway/wire_dialect.h"
+#include "dispatch/load_tracker.h"
 #include "membership/endpoint_roster.h"
 #include "wisteriashunt/time.h"
 
-#include <map>
-#include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -22,58 +18,11 @@
 namespace wisteriashunt
 {
 
-/// Work queued or running at one endpoint.
-struct endpoint_load
-{
-    /// Requests that were sent and whose answers have not begun.
-    int waiting = 0;
-    /// Uncached prompt tokens of the waiting requests.
-    ranked_tokens waitingTokens;
-    /// Short-prompt requests, waiting or running.
-    int shortPrompts = 0;
-    /// Long-prompt requests, waiting or running.
-    int longPrompts = 0;
-    /// Uncached prompt tokens of the long-prompt requests, waiting or running.
-    ranked_tokens longPromptTokens;
-    /// Uncached prompt tokens that were sent recently, of long and short prompts. Decays exponentially with the time constant
-    /// placement_options::recentTokensDecayTime.
-    std::int64_t recentTokens = 0;
-
-    [[nodiscard]] int total() const
-    {
-        return shortPrompts + longPrompts;
-    }
-    bool operator==(const endpoint_load &) const = default;
-};
-
-/// A shared part of a prompt that was sent to an endpoint, which is then expected to have it cached.
-struct part_placement
-{
-    std::uint64_t part = 0;
-    std::string endpointId;
-
-    bool operator==(const part_placement &) const = default;
-};
-
-/// The load of one entry, as it reports it to its peers. Loads and rates replace those of the previous digest; placements accumulate.
-struct load_digest
-{
-    std::map<std::string, endpoint_load> endpoints;
-    /// Prompt tokens of short-prompt requests per second, by service.
-    std::map<std::string, double> shortPromptTokensPerSecond;
-    /// Placements since the last digest.
-    std::vector<part_placement> placements;
-
-    bool operator==(const load_digest &) const = default;
-};
-
 /// Settings of a placement_planner. Predicted times are scaled by each endpoint's observed slowness; the limits are not.
 struct placement_options
 {
     /// Prompt tokens from which a request counts as a long prompt. At 45 tokens/ms, their prefill takes 62 ms, a fifth of a 300 ms pause.
     std::int64_t minLongPromptTokens = 2800;
-    /// Time for which a peer's digest is valid: twice the period in which peers without load send them (peer_exchange_options::idlePeriod).
-    duration digestLifetime = std::chrono::milliseconds(1000);
     /// Prefill speed of an engine in tokens per millisecond, before the correction by observed slowness.
     double prefillTokensPerMillisecond = 45;
     /// Time to the first event, excluding the prefill.
@@ -85,8 +34,6 @@
     /// prefilled between two events of a stream, which must be at most 300 ms apart: 27 ms of decode steps plus 9,000 tokens at
     /// 45 tokens/ms, with about a quarter left for slower engines.
     std::int64_t maxRecentTokensWithStreams = 9000;
-    /// Time constant with which endpoint_load::recentTokens decays: about the longest acceptable pause in the stream of a short prompt.
-    duration recentTokensDecayTime = std::chrono::milliseconds(300);
     /// Share of the slots that short prompts may occupy before their group grows by another engine.
     double shortPromptSlotShare = 0.8;
     /// Share of an engine's time that the prefill of short prompts may take before their group grows by another engine.
@@ -95,17 +42,24 @@
     duration groupShrinkDelay = std::chrono::seconds(3);
     /// The predicted first byte of a long prompt must come within this share of its target on engines without its shared parts.
     /// The margin is for busy engines, whose predicted times are a third too short. Engines with the parts cached may take longer; see
-    /// cacheHolderWaitFactor in placement.cpp.
+    /// cacheHolderWaitFactor.
     double firstByteTargetShare = 0.6;
     /// Share of the target that a prompt may wait behind others in any case, so that no prompt is refused for its own length.
     double queueTargetShare = 0.1;
+    /// Factors by which maxLongPromptTokensPerEndpoint and the longest predicted time to the first byte are raised for an engine that has all
+    /// shared parts of a prompt cached. A prefill of these parts on another engine would delay other requests by more than it saves this one.
+    double cacheHolderTokenFactor = 3;
+    double cacheHolderWaitFactor = 2;
+    /// Advantage of an endpoint in the entry's own availability zone, in requests; less than one, so it only breaks ties.
+    double sameZoneAdvantage = 0.5;
+    /// Whether work that is less urgent than a long prompt counts as ahead of it. Engines begin the most urgent prompt first.
+    bool countsLessUrgentWork = false;
     /// Fewest engines that a long prompt considers besides those with all its shared parts cached. Entries learn of each other's requests
     /// with a delay; if all considered every engine, they would all send to the one that looks idle.
     std::size_t minSampledEngines = 3;
     /// Shortest retry delay of a placement that is refused for overload; also the retry delay of a request that was queued for its full queue time.
     duration minRetryAfter = std::chrono::milliseconds(1200);
-    /// Time since its last use for which a shared part is assumed to be cached by an engine. Current engines keep parts longer.
-    duration partLifetime = std::chrono::seconds(20);
+    load_tracker_options loads;
 };
 
 /// Properties of a request that determine its placement.
@@ -176,7 +130,7 @@
     duration predictedFirstByte{};
 };
 
-/// Places requests. Tracks the load and observed speed of endpoints and which prompt parts they have cached. Not thread-safe.
+/// Places requests by what a load_tracker knows. Not thread-safe.
 class placement_planner
 {
 public:
@@ -193,45 +147,23 @@
     void onFirstByte(const placement &placed, duration sinceSent, time_point now);
     void onFinished(const placement &placed, bool hadFirstByte);
 
-    /// Returns this entry's own load, to be sent to its peers. Also discards the state of endpoints that are no longer in use.
+    /// See load_tracker.
     [[nodiscard]] load_digest digest(time_point now);
     void onPeerDigest(const std::string &peer, load_digest digest, time_point now);
-    /// Returns the number of entries with a valid digest, including this one.
     [[nodiscard]] std::size_t liveEntries(time_point now) const;
-
-    /// Returns the load of an endpoint, summed over all entries.
     [[nodiscard]] endpoint_load loadOf(const std::string &endpointId, time_point now) const;
-    /// Returns the number of endpoints for which state is held.
-    [[nodiscard]] std::size_t trackedEndpoints() const
-    {
-        return m_endpoints.size();
-    }
+    [[nodiscard]] std::size_t trackedEndpoints() const;
+
     /// Returns the number of engines of the service on which short prompts are concentrated.
     [[nodiscard]] std::size_t shortPromptGroupSize(const std::string &service, time_point now);
 
 private:
-    /// This entry's own load at an endpoint and the endpoint's observed speed. load.recentTokens stays 0 in favor of the member below.
-    struct endpoint_state
-    {
-        endpoint_load load;
-        /// Tokens sent recently, decayed up to recentAt.
-        double recentTokens = 0;
-        time_point recentAt;
-        /// Factor by which first bytes take longer than predicted.
-        double slowness = 1;
-        time_point slownessAt;
-    };
-    struct peer_state
-    {
-        load_digest digest;
-        time_point receivedAt;
-    };
-    struct service_state
+    /// Engines on which the short prompts of a service are concentrated.
+    struct short_prompt_group
     {
-        double shortPromptTokensPerSecond = 0;
-        time_point rateAt;
-        std::size_t groupSize = 1;
-        time_point groupNeededAt;
+        std::size_t size = 1;
+        /// When so many were last needed.
+        time_point neededAt;
     };
     struct candidate
     {
@@ -264,22 +196,15 @@
     void restrictToSample(const placement_request &request, std::vector<long_prompt_option> &options, time_point now) const;
     /// Longest predicted time to the first byte with which the request is still sent, lengthened by waitFactor.
     [[nodiscard]] duration maxFirstByte(const placement_request &request, double prefillMilliseconds, double waitFactor) const;
-    [[nodiscard]] std::int64_t uncachedTokens(const placement_request &request, const candidate &target, time_point now) const;
+    /// Returns the tokens that an engine prefills or generates before it begins a request of the rank.
+    [[nodiscard]] std::int64_t tokensAhead(const ranked_tokens &tokens, int rank) const;
     [[nodiscard]] double millisecondsToPrefill(const std::string &endpointId, std::int64_t tokens, time_point now) const;
-    [[nodiscard]] double slownessOf(const std::string &endpointId, time_point now) const;
-    void recordPart(std::uint64_t part, const std::string &endpointId, time_point now);
-    void decayRate(service_state &service, time_point now) const;
-    [[nodiscard]] double decayed(double tokens, duration age) const;
 
     const endpoint_roster &m_roster;
     std::string m_availabilityZone;
     placement_options m_options;
-    std::unordered_map<std::string, endpoint_state> m_endpoints;
-    std::map<std::string, peer_state> m_peers;
-    std::unordered_map<std::string, service_state> m_services;
-    std::vector<part_placement> m_newPlacements;
-    /// Last use of each prompt part, by part and endpoint.
-    std::unordered_map<std::uint64_t, std::unordered_map<std::string, time_point>> m_parts;
+    load_tracker m_loads;
+    std::unordered_map<std::string, short_prompt_group> m_groups;
 };
 
 } // namespace wisteriashunt
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -243,7 +243,7 @@
     m_planner.onPeerDigest("peer", {.endpoints = {{"p0", {.waiting = 3, .shortPrompts = 5}}}}, start);
     EXPECT_EQ(m_planner.loadOf("p0", start).shortPrompts, 5);
     EXPECT_EQ(m_planner.liveEntries(start), 2U);
-    const auto later = start + placement_options{}.digestLifetime;
+    const auto later = start + load_tracker_options{}.digestLifetime;
     EXPECT_EQ(m_planner.loadOf("p0", later).shortPrompts, 0);
     EXPECT_EQ(m_planner.liveEntries(later), 1U);
 }
@@ -268,7 +268,7 @@
     for (const auto &[id, load] : m_planner.digest(start).endpoints) {
         EXPECT_EQ(load, endpoint_load{.recentTokens = load.recentTokens}) << id << ": only recentTokens may differ from 0";
     }
-    EXPECT_TRUE(m_planner.digest(start + 10 * placement_options{}.recentTokensDecayTime).endpoints.empty());
+    EXPECT_TRUE(m_planner.digest(start + 10 * load_tracker_options{}.recentTokensDecayTime).endpoints.empty());
 }
 
 TEST_F(placement_test, SendsLongPromptsToEnginesOfTheShortPromptGroupWhenItTakesMostEngines)
@@ -303,7 +303,7 @@
     constexpr std::int64_t sent = 8000;
     m_planner.onPeerDigest("peer", {.endpoints = {{"e1", {.recentTokens = sent}}}}, start);
     EXPECT_EQ(m_planner.loadOf("e1", start).recentTokens, sent);
-    const auto later = start + placement_options{}.recentTokensDecayTime;
+    const auto later = start + load_tracker_options{}.recentTokensDecayTime;
     EXPECT_NEAR(static_cast<double>(m_planner.loadOf("e1", later).recentTokens), sent / 2.718, 2);
 }
 
@@ -336,7 +336,8 @@
     const entry_message message{
         .declarationsVersion = 12,
         .isLeaving = true,
-        .load = {.endpoints = {{"e1", {.waiting = 1, .waitingTokens = {0, 900}, .shortPrompts = 2, .longPrompts = 3, .longPromptTokens = {7, 4}, .recentTokens = 5}}},
+        .load = {.endpoints = {{"e1",
+                                {.waiting = 1, .waitingTokens = {0, 900}, .shortPrompts = 2, .longPrompts = 3, .longPromptTokens = {7, 4}, .recentTokens = 5}}},
                  .shortPromptTokensPerSecond = {{"s", 12.5}},
                  .placements = {{77, "e1"}}},
         .peers = {{.ip = 5, .port = 6}}};
