Count all waiting tokens as ahead of a short prompt

Cause: with ranks, short prompts of an urgent class took no notice of less urgent long prompts that wait at an engine.

Change: short prompts count all waiting tokens in the choice of an engine, as before.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -179,8 +179,7 @@
         const auto position = static_cast<std::size_t>(&each - usable.data());
         const double slots = std::max(1, each.endpoint->record.slots);
         const double fill = each.load.total() / slots;
-        const double prefillMilliseconds =
-            millisecondsToPrefill(each.endpoint->record.id, each.load.waitingTokens.upTo(request.rank) + request.promptTokens, now);
+        const double prefillMilliseconds = millisecondsToPrefill(each.endpoint->record.id, each.load.waitingTokens.total() + request.promptTokens, now);
         // An engine outside the group may start the prefill of a long prompt at any time, which delays short prompts there.
         constexpr double outsideGroupMilliseconds = 250;
         constexpr double perLongPromptMilliseconds = 30;
@@ -191,7 +190,7 @@
             + failurePenalty * fillMilliseconds * each.endpoint->health.failureShare();
     };
     const auto best = std::min_element(usable.begin(), usable.end(), [&](const candidate &left, const candidate &right) { return cost(left) < cost(right); });
-    const double wait = millisecondsToPrefill(best->endpoint->record.id, best->load.waitingTokens.upTo(request.rank) + request.promptTokens, now);
+    const double wait = millisecondsToPrefill(best->endpoint->record.id, best->load.waitingTokens.total() + request.promptTokens, now);
     return {.chosen = {.endpoint = best->endpoint,
                        .uncachedTokens = request.promptTokens,
                        .rank = request.rank,
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -110,6 +110,17 @@
     }
 }
 
+TEST_F(placement_test, KeepsAShortPromptOffAnEngineThatPrefillsLessUrgentPrompts)
+{
+    constexpr int urgentRank = 3;
+    constexpr int otherRank = 5;
+    auto request = shortPrompt();
+    request.rank = urgentRank;
+    const auto preferred = m_planner.place(request, start).chosen.endpoint->record.id;
+    m_planner.onPeerDigest("peer", {.endpoints = {{preferred, {.waiting = 2, .waitingTokens = {otherRank, 34000}, .longPrompts = 2}}}}, start);
+    EXPECT_NE(m_planner.place(request, start).chosen.endpoint->record.id, preferred) << "a prefill that has begun is not interrupted";
+}
+
 TEST_F(placement_test, GrowsTheShortPromptGroupWithDemand)
 {
     const auto before = m_planner.shortPromptGroupSize("model", start);
