Answer a query for an attempt that another entry is about to start without barring it

Cause: an entry that lost a claim asked the endpoint process for the winner's attempt before the winner's start had arrived. The process reported "never started" and barred the attempt, so the winner's caller got 503 not_ready.

Change: while another entry than the asking one holds an open offer for the attempt, the answer is "running" and nothing is barred. The offer ends with its holder's connection, and a later query bars the attempt as before.

--- a/include/wisteriashunt/messages.h
+++ b/include/wisteriashunt/messages.h
@@ -153,7 +153,8 @@
     MSGPACK_DEFINE(id)
 };
 
-/// Entry to endpoint: asks for the state of the attempt. An attempt that has not started is barred from starting later.
+/// Entry to endpoint: asks for the state of the attempt. An attempt that has not started is barred from starting later, unless another entry
+/// holds an open offer for it.
 struct fate_query
 {
     attempt_id id;
@@ -234,6 +235,7 @@
 /// State of an attempt, as its endpoint process knows it.
 enum class fate : std::uint8_t {
     never_started,
+    /// Also while another entry than the asking one holds an open offer for the attempt, and may start it.
     running,
     ended,
     failed,
--- a/src/endpoint/endpoint_core.cpp
+++ b/src/endpoint/endpoint_core.cpp
@@ -155,6 +155,11 @@
     }
     const auto offered = m_offers.find(query.id);
     if (offered != m_offers.end()) {
+        if (offered->second.choice.work.peer != peer) {
+            // The entry that holds the offer is connected, and its start may be on the way.
+            send(peer, fate_answer{.id = query.id, .state = static_cast<std::uint8_t>(fate::running), .outcome = {}});
+            return;
+        }
         m_queue.refund(offered->second.choice);
         m_offers.erase(offered);
     }
