Spread long prompts without parts over all engines

Cause: the sample of a prompt without parts was drawn by key 0, so all such prompts considered the same three engines.

Change: the key is the request's. Tests: LongPromptsWithoutPartsUseAllEngines, and APartThatManyPromptsShareSpreadsBeyondItsFirstEngines, which shows that a part with much of the traffic is not bound to its first sample: engines that have it cached leave the sample.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -42,10 +42,11 @@
 }
 
 /// Key by which prompts with a long common prefix choose the same endpoint: the ID of the last shared part.
-std::uint64_t affinityKey(const std::vector<prompt_part> &prompt)
+std::uint64_t affinityKey(const placement_request &request)
 {
+    const auto &prompt = request.prompt;
     if (prompt.empty()) {
-        return 0;
+        return request.requestKey;
     }
     return prompt.size() == 1 ? prompt.front().id : prompt[prompt.size() - 2].id;
 }
@@ -235,7 +236,7 @@
     }
     // Breaks ties by prompt and endpoint, so that entries that place the same new part at the same time choose the same endpoint.
     constexpr double maxTieBreakMilliseconds = 20;
-    const double tieBreak = maxTieBreakMilliseconds * static_cast<double>(mixBits(affinityKey(request.prompt) ^ target.order)) / 18446744073709551615.0;
+    const double tieBreak = maxTieBreakMilliseconds * static_cast<double>(mixBits(affinityKey(request) ^ target.order)) / 18446744073709551615.0;
     // The prefill of a long prompt stalls every stream of the engine.
     constexpr double stalledStreamMilliseconds = 60;
     // A prefill delays every request queued behind it, so its time counts in addition to this request's own wait.
@@ -249,7 +250,7 @@
 
 void placement_planner::restrictToSample(const placement_request &request, std::vector<long_prompt_option> &options, time_point now) const
 {
-    const auto key = affinityKey(request.prompt);
+    const auto key = affinityKey(request);
     std::vector<std::pair<std::uint64_t, long_prompt_option *>> drawn;
     for (auto &option : options) {
         // Engines with streams of short prompts are ruled out for long, so they would only shrink the sample.
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -70,6 +70,8 @@
     std::int64_t promptTokens = 0;
     /// True if the service caches prompts, as model engines do.
     bool hasPrompt = false;
+    /// Differs between requests. Spreads those without prompt parts over the engines.
+    std::uint64_t requestKey = 0;
     /// Priority rank; 0 is the most urgent. Engines begin the waiting request with the most urgent rank first.
     int rank = 0;
     /// Time from now within which the first byte should arrive.
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 
 namespace wisteriashunt
 {
@@ -101,6 +102,7 @@
                           .prompt = m_metadata.prompt,
                           .promptTokens = m_metadata.promptTokens,
                           .hasPrompt = m_route->hasPrompt && service != nullptr && service->engineSlots > 0,
+                          .requestKey = std::hash<std::string>{}(m_metadata.attemptId),
                           .rank = m_rank};
     m_resumeAfter = m_metadata.lastEvent;
     m_context.allowanceOf(m_service).onRequest(m_arrival);
--- a/test/placement_fleet_test.cpp
+++ b/test/placement_fleet_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <set>
 
 namespace wisteriashunt
 {
@@ -102,6 +103,41 @@
     EXPECT_LE(most->second, 4) << "prompts at " << most->first << " of " << entryCount << " over " << engineCount << " idle engines";
 }
 
+TEST_F(placement_fleet_test, LongPromptsWithoutPartsUseAllEngines)
+{
+    exchangeDigests(start);
+    std::set<std::string> used;
+    for (std::uint64_t i = 0; i < 40 * entryCount; ++i) {
+        const placement_request request{.service = "model",
+                                        .promptTokens = promptTokens,
+                                        .hasPrompt = true,
+                                        .requestKey = i,
+                                        .firstByteTarget = std::chrono::seconds(100),
+                                        .maxFirstByteWait = std::chrono::seconds(100)};
+        const auto decision = m_entries[i % entryCount]->place(request, start);
+        ASSERT_EQ(decision.refusal, placement_refusal::none);
+        used.insert(decision.chosen.endpoint->record.id);
+    }
+    EXPECT_GE(used.size(), std::size_t{engineCount - 2}) << "all but the engines kept for short prompts";
+}
+
+TEST_F(placement_fleet_test, APartThatManyPromptsShareSpreadsBeyondItsFirstEngines)
+{
+    exchangeDigests(start);
+    std::set<std::string> used;
+    for (int i = 0; i < 20 * entryCount; ++i) {
+        const auto &entry = m_entries[static_cast<std::size_t>(i % entryCount)];
+        const auto request = promptOfSession(7, std::chrono::milliseconds(1500));
+        const auto decision = entry->place(request, start);
+        if (decision.refusal == placement_refusal::none) {
+            entry->onSent(request, decision.chosen, start);
+            used.insert(decision.chosen.endpoint->record.id);
+        }
+        exchangeDigests(start);
+    }
+    EXPECT_GT(used.size(), placement_options{}.minSampledEngines) << "its first engines are busy, and the others idle";
+}
+
 TEST_F(placement_fleet_test, EntriesChooseTheSameEngineForOneNewPart)
 {
     exchangeDigests(start);
