--- a/test/placement_fleet_test.cpp
+++ b/test/placement_fleet_test.cpp
@@ -177,8 +177,7 @@
     for (const auto &entry : m_entries) {
         auto request = promptOfSession(session++, std::chrono::milliseconds(1000));
         request.rank = urgentRank;
-        EXPECT_EQ(entry->place(request, start).refusal, placement_refusal::none)
-            << "an engine begins it before the waiting prompts of rank " << otherRank;
+        EXPECT_EQ(entry->place(request, start).refusal, placement_refusal::none) << "an engine begins it before the waiting prompts of rank " << otherRank;
     }
 }
 
--- a/test/store_restore_property_test.cpp
+++ b/test/store_restore_property_test.cpp
@@ -18,7 +18,9 @@
 namespace
 {
 
-enum topic_index : std::size_t { declarations, endpoints, topicCount };
+enum topic_index : std::size_t { declarations, endpoints };
+
+constexpr std::size_t topicCount = 2;
 
 constexpr std::size_t entryCount = 4;
 /// The log refuses this entry in every case.
