Keep long prompts off the streams of short answers: in the sample, and by the pause that routes declare

With two of twelve engines streaming, a prompt was often left with one or two others, and took an engine with streams when those were busy. Now the sample is drawn among engines without streams. - The tokens that may be prefilled beside streams were fixed for a pause of 300 ms. Routes declare 120 to 150 ms here, which was parsed and not used. Now the bound follows from the shortest pause that recent short prompts of the service declare.

Tests: placement_test.SendsFewerTokensBetweenEventsOfStreamsThatBearAShorterPause; placement_fleet_test.ALongPromptUsesOneOfFewIdleEnginesRatherThanOneWithStreams fails with the draw among all engines.

--- a/include/wisteriashunt/routing.h
+++ b/include/wisteriashunt/routing.h
@@ -43,7 +43,7 @@
     duration timeout{};
     /// Latency target: longest time to the first byte of the answer (streams: the first event).
     duration firstByteTarget{};
-    /// Streams: latency target for the longest pause between events. Parsed but not used by the router.
+    /// Streams: latency target for the longest pause between events; zero if none is declared.
     duration eventGapTarget{};
     /// Priority of the requests; 0 is the most urgent.
     int tier = 0;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -168,7 +168,8 @@
     const auto needed = std::clamp<std::size_t>(static_cast<std::size_t>(std::ceil(std::max(bySlots, byPrefill))), 1, usable - 1);
     auto &group = m_groups[service];
     if (needed >= group.size || now - group.neededAt > m_options.groupShrinkDelay) {
-        group = {.size = needed, .neededAt = now};
+        group.size = needed;
+        group.neededAt = now;
     }
     return std::min(group.size, usable - 1);
 }
@@ -199,6 +200,27 @@
                        .predictedFirstByte = fromMilliseconds(m_options.baseFirstByteMilliseconds + wait)}};
 }
 
+std::int64_t placement_planner::maxRecentTokensWithStreams(const std::string &service) const
+{
+    const auto group = m_groups.find(service);
+    const bool isDeclared = group != m_groups.end() && group->second.longestPause > duration{};
+    const double pause = toMilliseconds(isDeclared ? group->second.longestPause : m_options.defaultLongestPause);
+    const double prefill = m_options.pausePrefillShare * std::max(0.0, pause - m_options.decodeMilliseconds);
+    return static_cast<std::int64_t>(prefill * m_options.prefillTokensPerMillisecond);
+}
+
+void placement_planner::noteLongestPause(const placement_request &request, time_point now)
+{
+    // Routes change, so a pause that no request has declared for this long no longer counts.
+    constexpr std::chrono::seconds declarationLifetime{10};
+    auto &group = m_groups[request.service];
+    const bool isShorter = group.longestPause == duration{} || request.longestPause <= group.longestPause;
+    if (request.longestPause > duration{} && (isShorter || now - group.pauseDeclaredAt > declarationLifetime)) {
+        group.longestPause = request.longestPause;
+        group.pauseDeclaredAt = now;
+    }
+}
+
 std::int64_t placement_planner::tokensAhead(const ranked_tokens &tokens, int rank) const
 {
     return m_options.countsLessUrgentWork ? tokens.total() : tokens.upTo(rank);
@@ -223,13 +245,14 @@
     const auto predicted = fromMilliseconds(m_options.baseFirstByteMilliseconds + wait);
     const double slots = std::max(1, target.endpoint->record.slots);
     // If every engine streams answers to short prompts, the longest prompts would exceed the limit everywhere and never be placed.
-    const auto countedTokens = doAllHaveShortStreams ? std::min(uncached, m_options.maxRecentTokensWithStreams / 2) : uncached;
+    const auto maxRecentTokens = maxRecentTokensWithStreams(request.service);
+    const auto countedTokens = doAllHaveShortStreams ? std::min(uncached, maxRecentTokens / 2) : uncached;
     placement_obstacle obstacle = placement_obstacle::none;
     const bool hasCachedParts = request.prompt.size() > 1 && uncached <= request.prompt.back().tokens;
     const auto longPromptTokenLimit = static_cast<double>(m_options.maxLongPromptTokensPerEndpoint) * (hasCachedParts ? m_options.cacheHolderTokenFactor : 1);
     if (target.load.longPrompts > 0 && static_cast<double>(tokensAhead(target.load.longPromptTokens, request.rank)) >= longPromptTokenLimit) {
         obstacle = placement_obstacle::token_limit;
-    } else if (hasShortStreams && (target.load.recentTokens + countedTokens > m_options.maxRecentTokensWithStreams || target.load.total() >= slots)) {
+    } else if (hasShortStreams && (target.load.recentTokens + countedTokens > maxRecentTokens || target.load.total() >= slots)) {
         obstacle = placement_obstacle::stream_pauses;
     } else if (predicted > maxFirstByte(request, prefillMilliseconds, hasCachedParts ? m_options.cacheHolderWaitFactor : 1)) {
         obstacle = placement_obstacle::too_late;
@@ -245,16 +268,23 @@
     const double cost = wait + prefillWeight * prefillMilliseconds + tieBreak
         + (hasShortStreams ? shortStreamPenaltyMilliseconds : stalledStreamMilliseconds * target.load.shortPrompts)
         + overcommitMilliseconds * std::max(0.0, target.load.total() / slots - 1) + failurePenalty * 100 * target.endpoint->health.failureShare();
-    return {.target = &target, .uncached = uncached, .predictedFirstByte = predicted, .cost = cost, .obstacle = obstacle, .hasCachedParts = hasCachedParts};
+    return {.target = &target,
+            .uncached = uncached,
+            .predictedFirstByte = predicted,
+            .cost = cost,
+            .obstacle = obstacle,
+            .hasCachedParts = hasCachedParts,
+            .hasShortStreams = hasShortStreams};
 }
 
 void placement_planner::restrictToSample(const placement_request &request, std::vector<long_prompt_option> &options, time_point now) const
 {
     const auto key = affinityKey(request);
     std::vector<std::pair<std::uint64_t, long_prompt_option *>> drawn;
+    const bool doAllHaveShortStreams = std::all_of(options.begin(), options.end(), [](const long_prompt_option &option) { return option.hasShortStreams; });
     for (auto &option : options) {
-        // Engines with streams of short prompts are ruled out for long, so they would only shrink the sample.
-        if (!option.hasCachedParts && option.obstacle != placement_obstacle::stream_pauses) {
+        // Engines with streams of short prompts are chosen only if no other can take the prompt, so they would shrink the sample.
+        if (!option.hasCachedParts && (doAllHaveShortStreams || !option.hasShortStreams)) {
             drawn.emplace_back(mixBits(key ^ option.target->order), &option);
         }
     }
@@ -320,6 +350,7 @@
         m_loads.recordParts(request.prompt, id, now);
     } else {
         m_loads.recordShortPrompt(request.service, request.promptTokens, now);
+        noteLongestPause(request, now);
     }
 }
 
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -30,10 +30,12 @@
     /// Limit on the uncached tokens of all long prompts at one engine; about 0.9 s of prefill. Back-to-back prefills leave no decode steps
     /// for the running streams: above this limit, they make more answers late or incomplete than they add.
     std::int64_t maxLongPromptTokensPerEndpoint = 40000;
-    /// Limit on endpoint_load::recentTokens for sending a long prompt to an engine that streams answers to short prompts. These tokens are
-    /// prefilled between two events of a stream, which must be at most 300 ms apart: 27 ms of decode steps plus 9,000 tokens at
-    /// 45 tokens/ms, with about a quarter left for slower engines.
-    std::int64_t maxRecentTokensWithStreams = 9000;
+    /// Longest pause between two events of a short prompt's stream, for services that declare none.
+    duration defaultLongestPause = std::chrono::milliseconds(300);
+    /// Time between two events of a stream while the engine prefills nothing.
+    double decodeMilliseconds = 27;
+    /// Share of the rest of a pause that the prefill of a long prompt may take. The remainder is for slower engines.
+    double pausePrefillShare = 0.73;
     /// Share of the slots that short prompts may occupy before their group grows by another engine.
     double shortPromptSlotShare = 0.8;
     /// Share of an engine's time that the prefill of short prompts may take before their group grows by another engine.
@@ -78,6 +80,8 @@
     duration firstByteTarget{};
     /// Longest acceptable time from now to the first byte: half of the time to the request's deadline.
     duration maxFirstByteWait{};
+    /// Longest acceptable pause between two events of the answer; zero if none is declared.
+    duration longestPause{};
     /// IDs of endpoints that were already tried.
     std::vector<std::string> excluded;
 };
@@ -166,6 +170,9 @@
         std::size_t size = 1;
         /// When so many were last needed.
         time_point neededAt;
+        /// Shortest of the longest acceptable pauses of recent short prompts, and when it was last declared; zero if none was.
+        duration longestPause{};
+        time_point pauseDeclaredAt;
     };
     struct candidate
     {
@@ -184,6 +191,7 @@
         double cost = 0;
         placement_obstacle obstacle = placement_obstacle::none;
         bool hasCachedParts = false;
+        bool hasShortStreams = false;
     };
 
     [[nodiscard]] std::vector<candidate> candidates(const placement_request &request, time_point now) const;
@@ -198,6 +206,10 @@
     void restrictToSample(const placement_request &request, std::vector<long_prompt_option> &options, time_point now) const;
     /// Longest predicted time to the first byte with which the request is still sent, lengthened by waitFactor.
     [[nodiscard]] duration maxFirstByte(const placement_request &request, double prefillMilliseconds, double waitFactor) const;
+    /// Limit on endpoint_load::recentTokens for sending a long prompt to an engine that streams answers to short prompts of the service. These
+    /// tokens are prefilled between two events of a stream.
+    [[nodiscard]] std::int64_t maxRecentTokensWithStreams(const std::string &service) const;
+    void noteLongestPause(const placement_request &request, time_point now);
     /// Returns the tokens that an engine prefills or generates before it begins a request of the rank.
     [[nodiscard]] std::int64_t tokensAhead(const ranked_tokens &tokens, int rank) const;
     [[nodiscard]] double millisecondsToPrefill(const std::string &endpointId, std::int64_t tokens, time_point now) const;
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -103,7 +103,8 @@
                           .promptTokens = m_metadata.promptTokens,
                           .hasPrompt = m_route->hasPrompt && service != nullptr && service->engineSlots > 0,
                           .requestKey = std::hash<std::string>{}(m_metadata.attemptId),
-                          .rank = m_rank};
+                          .rank = m_rank,
+                          .longestPause = m_route->eventGapTarget};
     m_resumeAfter = m_metadata.lastEvent;
     m_context.allowanceOf(m_service).onRequest(m_arrival);
     dispatch();
--- a/test/placement_fleet_test.cpp
+++ b/test/placement_fleet_test.cpp
@@ -103,6 +103,26 @@
     EXPECT_LE(most->second, 4) << "prompts at " << most->first << " of " << entryCount << " over " << engineCount << " idle engines";
 }
 
+TEST_F(placement_fleet_test, ALongPromptUsesOneOfFewIdleEnginesRatherThanOneWithStreams)
+{
+    constexpr int idleEngines = 8;
+    exchangeDigests(start);
+    std::map<std::string, endpoint_load> streams;
+    for (int i = idleEngines; i < engineCount; ++i) {
+        streams[engineId(i)] = {.shortPrompts = 10};
+    }
+    for (std::uint64_t session = 0; session < 20; ++session) {
+        auto &entry = *m_entries[session];
+        entry.onPeerDigest("other", {.endpoints = streams}, start);
+        auto request = promptOfSession(session, std::chrono::milliseconds(1500));
+        request.prompt = {{1000 + session, 2000}, {50000 + session, 1000}};
+        request.promptTokens = 3000;
+        const auto decision = entry.place(request, start);
+        ASSERT_EQ(decision.refusal, placement_refusal::none);
+        EXPECT_FALSE(streams.contains(decision.chosen.endpoint->record.id)) << "session " << session << " stalls 10 streams";
+    }
+}
+
 TEST_F(placement_fleet_test, LongPromptsWithoutPartsUseAllEngines)
 {
     exchangeDigests(start);
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -303,12 +303,29 @@
     for (int i = 0; i < engines; ++i) {
         const auto load = m_planner.loadOf("e" + std::to_string(i), later);
         if (load.shortPrompts > 0) {
-            EXPECT_LE(load.recentTokens, placement_options{}.maxRecentTokensWithStreams + 1)
-                << "engine " << i << " streams " << load.shortPrompts << " short answers";
+            constexpr std::int64_t maxTokensInPause = 9000;
+            EXPECT_LE(load.recentTokens, maxTokensInPause + 1) << "engine " << i << " streams " << load.shortPrompts << " short answers";
         }
     }
 }
 
+TEST_F(placement_test, SendsFewerTokensBetweenEventsOfStreamsThatBearAShorterPause)
+{
+    std::map<std::string, endpoint_load> streams;
+    for (int i = 0; i < engines; ++i) {
+        streams["e" + std::to_string(i)] = {.shortPrompts = slots / 2, .recentTokens = 2500};
+    }
+    m_planner.onPeerDigest("peer", {.endpoints = streams}, start);
+    auto prompt = longPrompt(1);
+    prompt.prompt = {{1, 3000}};
+    prompt.promptTokens = 3000;
+    EXPECT_EQ(m_planner.place(prompt, start).refusal, placement_refusal::none) << "5,500 tokens take 122 ms of a pause of 300 ms";
+    auto request = shortPrompt();
+    request.longestPause = std::chrono::milliseconds(120);
+    send(request);
+    EXPECT_EQ(m_planner.place(prompt, start).refusal, placement_refusal::overloaded) << "they exceed a pause of 120 ms";
+}
+
 TEST_F(placement_test, DecaysRecentTokensOfPeers)
 {
     constexpr std::int64_t sent = 8000;
