--- a/test/placement_fleet_test.cpp
+++ b/test/placement_fleet_test.cpp
@@ -103,6 +103,29 @@
     EXPECT_LE(most->second, 4) << "prompts at " << most->first << " of " << entryCount << " over " << engineCount << " idle engines";
 }
 
+TEST_F(placement_fleet_test, NoLessUrgentPromptIsPlacedWhileAnUrgentOneOfHalfItsSizeIsRefused)
+{
+    constexpr int urgentRank = 0;
+    constexpr int otherRank = 5;
+    auto &entry = *m_entries.front();
+    std::map<std::string, endpoint_load> busy;
+    for (int i = 0; i < engineCount; ++i) {
+        busy[engineId(i)] = {.waiting = 2, .waitingTokens = {urgentRank, 30000}, .longPrompts = 2};
+    }
+    entry.onPeerDigest("other", {.endpoints = busy, .placements = {{900, engineId(5)}}}, start);
+    auto urgent = promptOfSession(1, std::chrono::milliseconds(1500));
+    urgent.rank = urgentRank;
+    ASSERT_EQ(entry.place(urgent, start).refusal, placement_refusal::overloaded) << "667 ms of waiting and 378 ms of prefill, with a limit of 900 ms";
+    placement_request other{.service = "model",
+                            .prompt = {{900, 32000}, {901, 8000}},
+                            .promptTokens = 40000,
+                            .hasPrompt = true,
+                            .rank = otherRank,
+                            .firstByteTarget = std::chrono::milliseconds(1500),
+                            .maxFirstByteWait = std::chrono::seconds(4)};
+    EXPECT_EQ(entry.place(other, start).refusal, placement_refusal::overloaded) << "an engine that has its shared part cached takes it";
+}
+
 TEST_F(placement_fleet_test, ALongPromptUsesOneOfFewIdleEnginesRatherThanOneWithStreams)
 {
     constexpr int idleEngines = 8;
