Refuse messages of peers that announce more members than they have bytes

Cause: msgpack allocates memory for all announced members of an array before it reads them.

Change: both decoders bound arrays, maps and strings by the size of the message.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -1,9 +1,9 @@
 #include "gateway/peer_exchange.h"
 
+#include "gateway/bounded_unpack.h"
 #include "wisteriashunt/errors.h"
 
 #include <algorithm>
-#include <msgpack.hpp>
 #include <tuple>
 
 namespace wisteriashunt
@@ -86,7 +86,7 @@
 entry_message decodeEntryMessage(std::string_view bytes)
 {
     try {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        const auto handle = unpackBounded(bytes);
         const auto [format, version, isLeaving, loads, rates, placements, peers, logEpoch] = handle.get().as<packed_message>();
         if (format != formatVersion) {
             throw shunt_error(error_kind::malformed_frame,
--- a/src/gateway/peer_records.cpp
+++ b/src/gateway/peer_records.cpp
@@ -1,9 +1,9 @@
 #include "gateway/peer_records.h"
 
+#include "gateway/bounded_unpack.h"
 #include "wisteriashunt/errors.h"
 
 #include <algorithm>
-#include <msgpack.hpp>
 #include <tuple>
 
 namespace wisteriashunt
@@ -36,7 +36,7 @@
 keyed_snapshot decodeSnapshot(std::string_view bytes)
 {
     try {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        const auto handle = unpackBounded(bytes);
         const auto [next, records, epoch] = handle.get().as<packed_snapshot>();
         keyed_snapshot snapshot{.next = next, .epoch = epoch};
         for (const auto &[key, value, offset, recordEpoch] : records) {
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -424,6 +424,13 @@
     EXPECT_EQ(tokens.total(), 141);
 }
 
+TEST(entry_message_test, RejectsAnArrayThatAnnouncesMoreMembersThanThereAreBytes)
+{
+    // An array of 3,572,785,409 members, for which no memory may be allocated.
+    using namespace std::string_literals;
+    EXPECT_THROW(static_cast<void>(decodeEntryMessage("\xdd\xd4\xf4\x61\x01"s)), shunt_error);
+}
+
 TEST(entry_message_test, RejectsTruncatedAndMalformedBytes)
 {
     const auto bytes = encodeEntryMessage({});
--- a/test/store_restore_test.cpp
+++ b/test/store_restore_test.cpp
@@ -237,6 +237,13 @@
     EXPECT_EQ(records.nextRead(), (log_read{.from = {.epoch = 1}}));
 }
 
+TEST(keyed_snapshot_test, RejectsAnArrayThatAnnouncesMoreMembersThanThereAreBytes)
+{
+    // An array of 3,572,785,409 members, for which no memory may be allocated.
+    using namespace std::string_literals;
+    EXPECT_THROW(static_cast<void>(decodeSnapshot("\xdd\xd4\xf4\x61\x01"s)), shunt_error);
+}
+
 TEST(keyed_snapshot_test, ReadsSnapshotsOfEntriesWithoutEpochsAsTheFirstEpoch)
 {
     // A snapshot as entries without epochs send it.
