Move what decides between records of different epochs into src/membership

They stood in src/gateway, beside the calls to the log; they need neither network nor clock. Behaviour is as it was.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,9 +7,9 @@
 #include "gateway/log_follower.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/peer_records.h"
-#include "gateway/record_decoders.h"
 #include "gateway/request_session.h"
 #include "http/caller_connection.h"
+#include "membership/record_decoders.h"
 
 #include <functional>
 #include <map>
--- a/src/gateway/log_follower.h
+++ b/src/gateway/log_follower.h
@@ -2,8 +2,9 @@
 #pragma once
 
 #include "gateway/event_log.h"
-#include "gateway/topic_records.h"
+#include "gateway/keyed_log.h"
 #include "http/upstream_connection.h"
+#include "membership/topic_records.h"
 
 #include <functional>
 #include <memory>
--- a/src/gateway/record_decoders.cpp
+++ b/src/membership/record_decoders.cpp
@@ -1,4 +1,4 @@
-#include "gateway/record_decoders.h"
+#include "membership/record_decoders.h"
 
 #include "wisteriashunt/errors.h"
 
--- a/src/gateway/record_decoders.h
+++ b/src/membership/record_decoders.h
@@ -1,8 +1,8 @@
 /// Decoders of the platform's records, and how their contents order them.
 #pragma once
 
-#include "gateway/topic_records.h"
 #include "membership/endpoint_roster.h"
+#include "membership/topic_records.h"
 #include "wisteriashunt/routing.h"
 
 #include <functional>
--- a/src/gateway/topic_records.cpp
+++ b/src/membership/topic_records.cpp
@@ -1,4 +1,4 @@
-#include "gateway/topic_records.h"
+#include "membership/topic_records.h"
 
 #include <utility>
 
--- a/src/gateway/topic_records.h
+++ b/src/membership/topic_records.h
@@ -4,7 +4,7 @@
 /// records. There the records' own contents decide, so that what a record states never goes back.
 #pragma once
 
-#include "gateway/keyed_log.h"
+#include "membership/keyed_record.h"
 
 #include <functional>
 #include <map>
--- a/test/store_restore_property_test.cpp
+++ b/test/store_restore_property_test.cpp
@@ -1,7 +1,7 @@
 // Property test of the records that entries keep of the platform's log, which at any moment may return from a copy that lacks its newest
 // records. Operators and endpoints write, endpoints come, drain, go and reuse addresses, entries start, answers are late or lost, and the log
 // refuses some entries, which then learn from others.
-#include "gateway/record_decoders.h"
+#include "membership/record_decoders.h"
 #include "wisteriashunt/errors.h"
 
 #include <gtest/gtest.h>
