Log the limits on requests per second that endpoints declare

Cause: of an endpoint that gets more requests than it declared it takes, logs and metrics show neither the limit nor whether an entry knows it. Change: the adapter reads the limit, src/dispatch keeps what an entry knows of it by incarnation, and each change is a log line (307, 308) and a gauge. Nothing is decided by it yet. Tests: endpoint_rate_limits_test (order of answers, withdrawal, incarnations), wire_dialect_test (no numbers, infinite, empty, twice).

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -367,6 +367,17 @@
     m_loads.onFinished(workOf(placed), hadFirstByte);
 }
 
+std::optional<rate_limit_change>
+placement_planner::onAnswer(const endpoint_record &endpoint, std::optional<double> perSecond, time_point sentAt, time_point now)
+{
+    return m_rateLimits.onAnswer(endpoint, perSecond, sentAt, now);
+}
+
+std::size_t placement_planner::limitedEndpoints() const
+{
+    return m_rateLimits.limitedEndpoints();
+}
+
 load_digest placement_planner::digest(time_point now)
 {
     return m_loads.digest(now);
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -6,6 +6,7 @@
 /// group takes up most engines, long prompts also go to engines in it, at a rate that keeps the pauses of the streams there within bounds.
 #pragma once
 
+#include "dispatch/endpoint_rate_limits.h"
 #include "dispatch/load_tracker.h"
 #include "membership/endpoint_roster.h"
 #include "wisteriashunt/time.h"
@@ -154,6 +155,10 @@
     void onFirstByte(const placement &placed, duration sinceSent, time_point now);
     void onFinished(const placement &placed, bool hadFirstByte);
 
+    /// See endpoint_rate_limits.
+    std::optional<rate_limit_change> onAnswer(const endpoint_record &endpoint, std::optional<double> perSecond, time_point sentAt, time_point now);
+    [[nodiscard]] std::size_t limitedEndpoints() const;
+
     /// See load_tracker.
     [[nodiscard]] load_digest digest(time_point now);
     void onPeerDigest(const std::string &peer, load_digest digest, time_point now);
@@ -220,6 +225,7 @@
     std::string m_availabilityZone;
     placement_options m_options;
     load_tracker m_loads;
+    endpoint_rate_limits m_rateLimits;
     std::unordered_map<std::string, short_prompt_group> m_groups;
 };
 
--- a/src/evidence/decision.cpp
+++ b/src/evidence/decision.cpp
@@ -58,6 +58,10 @@
         return "endpoint_suspended";
     case event_number::record_unusable:
         return "record_unusable";
+    case event_number::rate_limit_changed:
+        return "rate_limit_changed";
+    case event_number::rate_limit_unusable:
+        return "rate_limit_unusable";
     case event_number::peer_up:
         return "peer_up";
     case event_number::peer_down:
--- a/src/evidence/decision.h
+++ b/src/evidence/decision.h
@@ -38,6 +38,8 @@
     endpoint_gone = 304,
     endpoint_suspended = 305,
     record_unusable = 306,
+    rate_limit_changed = 307,
+    rate_limit_unusable = 308,
     peer_up = 401,
     peer_down = 402,
     peer_refused = 403,
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -12,6 +12,7 @@
 #include "net/event_loop.h"
 #include "routing/route_table.h"
 
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -37,6 +38,8 @@
     /// Routes of the declarations in force; nullptr until the first are read.
     std::shared_ptr<const route_table> table;
     std::unordered_map<std::string, retry_allowance> allowances;
+    /// Endpoints whose unusable limits were logged, and when.
+    std::map<std::string, time_point> unusableLimitReports;
     admission_queue queue;
     bool isQueueRunScheduled = false;
     timer_id queueTimer = 0;
@@ -62,6 +65,15 @@
         });
     }
 
+    /// Returns whether an unusable limit of the endpoint is to be logged. Bounds the lines that endpoints with such limits cause.
+    [[nodiscard]] bool takeUnusableLimitReport(const std::string &endpointId)
+    {
+        constexpr std::chrono::seconds period{10};
+        const auto now = loop.now();
+        std::erase_if(unusableLimitReports, [&](const auto &report) { return now - report.second >= period; });
+        return unusableLimitReports.try_emplace(endpointId, now).second;
+    }
+
     [[nodiscard]] retry_allowance &allowanceOf(const std::string &service)
     {
         return allowances.try_emplace(service, retryOptions).first->second;
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -268,9 +268,36 @@
     }
     m_head = std::move(head);
     m_response = metadata;
+    noteRateLimit();
     return true;
 }
 
+void request_session::noteRateLimit()
+{
+    if (m_response.isFromOtherEndpoint) {
+        return;
+    }
+    const auto now = m_context.loop.now();
+    const auto &endpoint = m_placed->endpoint->record;
+    if (m_response.unusableRateLimit) {
+        if (m_context.takeUnusableLimitReport(endpoint.id)) {
+            m_context.log.write(event_number::rate_limit_unusable, {{"endpoint", endpoint.id}, {"value", "'" + *m_response.unusableRateLimit + "'"}});
+        }
+        if (!m_response.rateLimit) {
+            return;
+        }
+    }
+    if (const auto change = m_context.planner.onAnswer(endpoint, m_response.rateLimit, m_sentAt, now)) {
+        const auto text = [](const std::optional<double> &limit) { return limit ? std::to_string(*limit) : "none"; };
+        m_context.log.write(event_number::rate_limit_changed,
+                            {{"endpoint", endpoint.id},
+                             {"before", text(change->before)},
+                             {"after", text(change->after)},
+                             {"known_for_ms", milliseconds(change->age)},
+                             {"request", m_metadata.attemptId}});
+    }
+}
+
 bool request_session::isStreamSuccess() const
 {
     return m_route->kind == repeatability::stream && isSuccess(m_head.status);
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -44,6 +44,8 @@
     [[nodiscard]] std::string buildRequest(const listed_endpoint &endpoint) const;
 
     [[nodiscard]] bool onHead(http_response_head &head);
+    /// Records the limit on requests per second that the endpoint declares, or that it declares none.
+    void noteRateLimit();
     void onBody(std::string_view bytes);
     void onComplete();
     void onFailure(exchange_failure failure, close_reason end);
--- a/src/gateway/wire_dialect.h
+++ b/src/gateway/wire_dialect.h
@@ -64,6 +64,13 @@
     bool didNotRun = false;
     /// The response carries the endpoint's signature.
     bool isSigned = false;
+    /// The response comes from another endpoint than the one that the request was for.
+    bool isFromOtherEndpoint = false;
+    /// Requests per second that the endpoint takes from all entries together, if it declares a limit. Finite and not negative; the smallest
+    /// if it declares several.
+    std::optional<double> rateLimit;
+    /// Text of a declared limit that is no such number, if there is one.
+    std::optional<std::string> unusableRateLimit;
 };
 
 /// Functions that translate between header fields and the types above.
--- a/test/adapter_test.cpp
+++ b/test/adapter_test.cpp
@@ -116,6 +116,30 @@
     EXPECT_TRUE(dialect.readResponse(200, {{"x-server-seal", "s"}, {"x-attempt-id", "9c41"}}).isSigned);
 }
 
+TEST(wire_dialect_test, ReadsTheRateLimitThatAnEndpointDeclares)
+{
+    const auto dialect = makeWireDialect();
+    EXPECT_EQ(dialect.readResponse(200, {{"server-limit", " 2.5 "}}).rateLimit, 2.5);
+    EXPECT_EQ(dialect.readResponse(503, {{"Server-Limit", "0"}}).rateLimit, 0);
+    EXPECT_EQ(dialect.readResponse(200, {{"Server-Limit", "1e30"}}).rateLimit, 1e30);
+    EXPECT_EQ(dialect.readResponse(200, {{"Server-Limit", "4"}, {"Server-Limit", "3"}}).rateLimit, 3);
+    EXPECT_EQ(dialect.readResponse(200, {}).rateLimit, std::nullopt);
+}
+
+TEST(wire_dialect_test, ReportsRateLimitsThatAreNoNumberOfRequests)
+{
+    const auto dialect = makeWireDialect();
+    for (const std::string text : {"-1", "nan", "inf", "1e999", "", "many", "2 3"}) {
+        const auto metadata = dialect.readResponse(200, {{"Server-Limit", text}});
+        EXPECT_EQ(metadata.rateLimit, std::nullopt) << text;
+        EXPECT_EQ(metadata.unusableRateLimit, text);
+    }
+    EXPECT_EQ(dialect.readResponse(200, {{"Server-Limit", std::string(500, '9') + "x"}}).unusableRateLimit->size(), 32U);
+    const auto both = dialect.readResponse(200, {{"Server-Limit", "x"}, {"Server-Limit", "3"}});
+    EXPECT_EQ(both.rateLimit, 3);
+    EXPECT_EQ(both.unusableRateLimit, "x");
+}
+
 TEST(record_decoders_test, ParsesDeclarations)
 {
     const auto declared = makeRecordDecoders().declarations(
