--- a/src/dispatch/endpoint_rate_limits.cpp
+++ b/src/dispatch/endpoint_rate_limits.cpp
@@ -34,6 +34,7 @@
 
 endpoint_rate_limits::endpoint_rate_limits(const endpoint_rate_limit_options &options)
     : m_options(options)
+    , m_census(options.census)
 {
 }
 
@@ -114,28 +115,21 @@
     return demand == m_demand.end() ? 0 : demand->second.perSecond * std::exp(-toSeconds(now - demand->second.at) / demandTimeConstantSeconds);
 }
 
-bool endpoint_rate_limits::isCounted(const peer_state &peer, time_point now) const
-{
-    return m_peersHeardAt - peer.heardAt < m_options.peerMemory && now - m_peersHeardAt < m_options.isolatedPeerMemory;
-}
-
 double endpoint_rate_limits::shareOf(const std::string &service, time_point now) const
 {
+    const double even = 1 / static_cast<double>(m_census.entries(now));
+    if (!m_census.knowsPeers(now)) {
+        return even;
+    }
     const double own = ownDemand(service, now);
     double total = own;
-    std::size_t entries = 1;
     for (const auto &[name, peer] : m_peers) {
-        if (isCounted(peer, now)) {
+        if (m_census.isCounted(name, now)) {
             // A peer that has not learnt of the limit yet reports no demand.
             const auto demand = peer.demand.find(service);
             total += demand == peer.demand.end() ? own : demand->second;
-            ++entries;
         }
     }
-    if (entries == 1) {
-        return 1 / static_cast<double>(m_options.assumedEntries);
-    }
-    const double even = 1 / static_cast<double>(entries);
     return m_options.evenShare * even + (1 - m_options.evenShare) * (total > 0 ? own / total : even);
 }
 
@@ -220,7 +214,8 @@
     std::erase_if(m_endpoints, [&](const auto &each) {
         return now - each.second.observedAt > unusedStateLifetime && (!each.second.perSecond || roster.find(each.first) == nullptr);
     });
-    std::erase_if(m_peers, [&](const auto &peer) { return !isCounted(peer.second, now); });
+    m_census.discardOutdated(now);
+    std::erase_if(m_peers, [&](const auto &peer) { return !m_census.isCounted(peer.first, now); });
     rate_limit_digest result;
     const std::size_t count = std::min(m_options.maxNotices, m_endpoints.size());
     auto next = m_endpoints.upper_bound(m_lastNoticed);
@@ -246,9 +241,8 @@
 
 std::vector<rate_limit_change> endpoint_rate_limits::onPeerDigest(const std::string &peer, const rate_limit_digest &digest, time_point now)
 {
+    m_census.onHeard(peer, now);
     auto &known = m_peers[peer];
-    known.heardAt = now;
-    m_peersHeardAt = now;
     known.demand = digest.demand;
     std::erase_if(known.usage, [&](const auto &usage) { return now - usage.second.reportedAt >= m_options.window; });
     std::vector<rate_limit_change> changes;
--- a/src/dispatch/endpoint_rate_limits.h
+++ b/src/dispatch/endpoint_rate_limits.h
@@ -7,6 +7,7 @@
 /// entry sends if the requests of all of them have reached the limit.
 #pragma once
 
+#include "dispatch/entry_census.h"
 #include "membership/endpoint_roster.h"
 #include "wisteriashunt/time.h"
 
@@ -72,12 +73,7 @@
     duration window = std::chrono::seconds(4);
     /// Share of a limit that is divided evenly, so that an entry whose demand rises has permits at once. The rest follows the demand.
     double evenShare = 0.25;
-    /// Number of entries to assume as long as no peer is known.
-    std::size_t assumedEntries = 8;
-    /// Time for which a peer that is no longer heard keeps its share while others are heard.
-    duration peerMemory = std::chrono::seconds(30);
-    /// Time for which all peers keep their shares while none is heard. An entry that is cut off must not assume that the others have stopped.
-    duration isolatedPeerMemory = std::chrono::minutes(1);
+    entry_census_options census;
     /// Least rate at which a limited endpoint gets requests. An endpoint that gets none cannot withdraw its limit.
     double minPerSecond = 0.2;
     /// Most notices per digest. With more limited endpoints, digests carry them by turns.
@@ -107,6 +103,11 @@
 
     /// Returns the limit of the endpoint's current incarnation, if one is known.
     [[nodiscard]] std::optional<double> limitOf(const endpoint_record &endpoint) const;
+    /// Returns the entries that share limits.
+    [[nodiscard]] const entry_census &census() const
+    {
+        return m_census;
+    }
     /// Returns the number of endpoints with a limit.
     [[nodiscard]] std::size_t limitedEndpoints() const;
 
@@ -137,7 +138,6 @@
     };
     struct peer_state
     {
-        time_point heardAt;
         std::map<std::string, double> demand;
         std::map<std::string, peer_usage> usage;
     };
@@ -157,8 +157,6 @@
     [[nodiscard]] double permitsPerSecond(const endpoint_state &state, time_point now) const;
     void accrue(endpoint_state &state, time_point now) const;
     [[nodiscard]] double ownDemand(const std::string &service, time_point now) const;
-    /// Returns whether a peer still has a share.
-    [[nodiscard]] bool isCounted(const peer_state &peer, time_point now) const;
     /// Returns this entry's share of the limits of a service's endpoints.
     [[nodiscard]] double shareOf(const std::string &service, time_point now) const;
     [[nodiscard]] bool isWindowFull(const std::string &endpointId, endpoint_state &state, time_point now) const;
@@ -166,9 +164,8 @@
 
     endpoint_rate_limit_options m_options;
     std::map<std::string, endpoint_state> m_endpoints;
+    entry_census m_census;
     std::map<std::string, peer_state> m_peers;
-    /// When the last digest of any peer came.
-    time_point m_peersHeardAt;
     std::map<std::string, service_demand> m_demand;
     /// The last endpoint in the newest digest, after which the next one continues.
     std::string m_lastNoticed;
