Divide the retry allowance among entries that were heard recently, not only just now

Before: retry_allowance_fleet_test.EntriesThatDoNotHearEachOtherKeepTheLimitOfTheFleet failed, 28 entries spent 2,016 retries in a window, 96 allowed. After: it passes; the number of entries is that of entry_census, and 8 as long as no peer is known.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -400,6 +400,11 @@
     return m_loads.liveEntries(now);
 }
 
+std::size_t placement_planner::sharingEntries(time_point now) const
+{
+    return m_rateLimits.census().entries(now);
+}
+
 endpoint_load placement_planner::loadOf(const std::string &endpointId, time_point now) const
 {
     return m_loads.loadOf(endpointId, now);
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -169,6 +169,8 @@
     [[nodiscard]] load_digest digest(time_point now);
     std::vector<rate_limit_change> onPeerDigest(const std::string &peer, load_digest digest, time_point now);
     [[nodiscard]] std::size_t liveEntries(time_point now) const;
+    /// Returns the number of entries among which limits that hold for all of them are divided; see entry_census.
+    [[nodiscard]] std::size_t sharingEntries(time_point now) const;
     [[nodiscard]] endpoint_load loadOf(const std::string &endpointId, time_point now) const;
     [[nodiscard]] std::size_t trackedEndpoints() const;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -207,6 +207,7 @@
     m_counters.addGauge("endpoint_connections_opened", [this] { return static_cast<double>(m_pool.openedConnections()); });
     m_counters.addGauge("endpoints_listed", [this] { return static_cast<double>(m_roster.size()); });
     m_counters.addGauge("endpoints_with_rate_limit", [this] { return static_cast<double>(m_planner.rateLimits().limitedEndpoints()); });
+    m_counters.addGauge("sharing_entries", [this] { return static_cast<double>(m_planner.sharingEntries(m_loop.now())); });
     m_counters.addGauge("live_entries", [this] { return static_cast<double>(m_planner.liveEntries(m_loop.now())); });
     m_counters.addGauge("declarations_version", [this] { return static_cast<double>(declarationsVersion()); });
     m_counters.addGauge("log_epoch", [this] { return static_cast<double>(m_endpointsFollower.epoch()); });
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -415,7 +415,7 @@
 void request_session::onAttemptEnded(attempt_outcome outcome)
 {
     const auto now = m_context.loop.now();
-    const auto step = decideNextStep(state(), outcome, [&] { return m_context.allowanceOf(m_service).trySpend(now, m_context.planner.liveEntries(now)); });
+    const auto step = decideNextStep(state(), outcome, [&] { return m_context.allowanceOf(m_service).trySpend(now, m_context.planner.sharingEntries(now)); });
     if (step != next_step::answer) {
         m_context.counters.count(event_number::attempt_retried, m_route->name);
         m_context.log.write(event_number::attempt_retried,
