Log the software version of endpoints and where streams resume

Cause: of a stream that went on at another version, logs show neither the endpoints' versions nor that and where an attempt resumed. Change: the adapter reads the version of an endpoint's record and the attempt that a caller's resumption names; endpoint_listed and attempt_started carry them. Nothing is decided by them yet. A record whose version is no string is unusable, as other fields are.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -352,6 +352,7 @@
                          {"service", endpoint.service},
                          {"address", toString(endpoint.address)},
                          {"draining", endpoint.isDraining ? "yes" : "no"},
+                         {"software", endpoint.softwareVersion.value_or("-")},
                          {"offset", std::to_string(record.offset)}});
         }
     } catch (const shunt_error &error) {
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -263,6 +263,9 @@
                          {"tokens_there", std::to_string(load.waitingTokens.total())},
                          {"predicted_ms", milliseconds(placed.predictedFirstByte)},
                          {"passed_over", std::string(toString(placed.cacheHolderObstacle))},
+                         {"software", placed.endpoint->record.softwareVersion.value_or("-")},
+                         {"resume_after", m_resumeAfter ? std::to_string(*m_resumeAfter) : "-"},
+                         {"resumes", m_metadata.resumedAttempt.empty() ? "-" : m_metadata.resumedAttempt},
                          {"entries", std::to_string(m_context.planner.liveEntries(m_sentAt))}});
     m_exchange = m_context.pool.acquire(placed.endpoint);
     const auto self = shared_from_this();
--- a/src/gateway/wire_dialect.h
+++ b/src/gateway/wire_dialect.h
@@ -38,6 +38,8 @@
     std::vector<prompt_part> prompt;
     /// ID of the event after which the stream is to resume.
     std::optional<std::int64_t> lastEvent;
+    /// If a stream is to resume: ID of the caller's attempt that brought its first event; empty if the caller names none.
+    std::string resumedAttempt;
 
     bool operator==(const request_metadata &) const = default;
 };
--- a/src/membership/endpoint_roster.h
+++ b/src/membership/endpoint_roster.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,8 @@
     std::int64_t startedAtMilliseconds = 0;
     /// Increases with each record that the incarnation writes.
     std::int64_t sequence = 0;
+    /// Version of the endpoint's software, if its record names one. Streams that endpoints of two versions write do not fit together.
+    std::optional<std::string> softwareVersion;
 
     bool operator==(const endpoint_record &) const = default;
 };
--- a/test/adapter_test.cpp
+++ b/test/adapter_test.cpp
@@ -62,7 +62,8 @@
                                                          {"X-Model", "m"},
                                                          {"X-Token-Usage", "1460,80"},
                                                          {"X-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,bad,e4402b7d:250"},
-                                                         {"Last-Event-Id", "12"}});
+                                                         {"Last-Event-Id", "12"},
+                                                         {"Resumes", "8b30"}});
     EXPECT_EQ(metadata.attemptId, "9c41");
     EXPECT_EQ(metadata.apiKey, "key");
     EXPECT_EQ(metadata.callerTimeout, std::chrono::milliseconds(5000));
@@ -70,6 +71,7 @@
     EXPECT_EQ(metadata.maxOutputTokens, 80);
     EXPECT_EQ(metadata.prompt, (std::vector<prompt_part>{{0x5c1e07a2, 800}, {0x91bd3f06, 410}, {0xe4402b7d, 250}}));
     EXPECT_EQ(metadata.lastEvent, 12);
+    EXPECT_EQ(metadata.resumedAttempt, "8b30");
 }
 
 TEST(wire_dialect_test, TreatsMalformedValuesAsAbsent)
@@ -165,11 +167,15 @@
         R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":32,"state":"ready","cold_left_ms":0,"born":5,"sequence":4})";
     EXPECT_EQ(decoders.endpoint("i-1", good).id, "i-1");
     EXPECT_EQ(decoders.endpoint("i-1", good).startedAtMilliseconds, 5);
+    EXPECT_EQ(decoders.endpoint("i-1", good).softwareVersion, "v1");
+    EXPECT_EQ(decoders.endpoint("i-1", replaced(good, "\"v1\"", "\"\"")).softwareVersion, "");
+    EXPECT_EQ(decoders.endpoint("i-1", replaced(good, "\"version\"", "\"other\"")).softwareVersion, std::nullopt);
     EXPECT_THROW(static_cast<void>(decoders.endpoint("i-1", replaced(good, "ready", "sleeping"))), shunt_error);
     EXPECT_THROW(static_cast<void>(decoders.endpoint("i-1", replaced(good, "\"slots\":32", "\"slots\":\"x\""))), shunt_error);
     EXPECT_THROW(static_cast<void>(decoders.endpoint("i-1", replaced(good, "10.0.0.9:80", "somewhere"))), shunt_error);
     EXPECT_THROW(static_cast<void>(decoders.endpoint("i-1", replaced(good, "service", "servize"))), shunt_error);
     EXPECT_THROW(static_cast<void>(decoders.endpoint("i-1", "\x01\x02")), shunt_error);
+    EXPECT_THROW(static_cast<void>(decoders.endpoint("i-1", replaced(good, "\"v1\"", "1"))), shunt_error);
     EXPECT_THROW(static_cast<void>(decoders.endpoint("i-1", "[]")), shunt_error);
     EXPECT_THROW(static_cast<void>(decoders.declarations(R"({"version":"x"})")), shunt_error);
     EXPECT_THROW(static_cast<void>(decoders.declarations(R"({"version":1,"routes":[{"name":"r"}]})")), shunt_error);
