--- a/test/entry_standins.cpp
+++ b/test/entry_standins.cpp
@@ -103,11 +103,12 @@
     return statusLine + "\r\n" + (m_namedEpoch.empty() ? "" : "Store-Era: " + m_namedEpoch + "\r\n");
 }
 
-void fake_log::putEndpoint(const std::string &id, std::uint16_t port, const std::string &state)
+void fake_log::putEndpoint(const std::string &id, std::uint16_t port, const std::string &state, const std::string &version)
 {
     const json entry{{"service", "s"},
                      {"address", "127.0.0.1:" + std::to_string(port)},
                      {"zone", "z"},
+                     {"version", version},
                      {"slots", 4},
                      {"state", state},
                      {"born", 1},
--- a/test/entry_standins.h
+++ b/test/entry_standins.h
@@ -28,7 +28,7 @@
     /// Appends a record; a record without a value deletes the key.
     void put(const std::string &topic, const std::string &key, const std::optional<std::string> &value);
     /// Appends an endpoint's record in the form that endpoints write.
-    void putEndpoint(const std::string &id, std::uint16_t port, const std::string &state = "ready");
+    void putEndpoint(const std::string &id, std::uint16_t port, const std::string &state = "ready", const std::string &version = "v1");
     /// Deletes an endpoint's record.
     void dropEndpoint(const std::string &id);
 
