Let streams go on only at the software version that began them

Cause: the record of an endpoint had no software version, so the choice of an endpoint for a stream that goes on looked at service and health alone, and an entry that did not serve the first try knew nothing of it. A class of fault: a candidate list that leaves out a property to which the work is bound, and a fact about an attempt that one entry knows.

Change: endpoints have a version. A resumable stream is bound to the version (and service) of the endpoint that wrote its first forwarded event, as its record said then; attempts that break before that may begin at any version, as the caller has none of their events. src/dispatch/ stream_versions knows where streams began. While several versions serve, or were listed within 30 s, entries tell each other of each stream at its first event, in two digests, and at once when a stream is cut, so that a killed entry's streams can be taken up too. An unknown attempt is refused (503 stream_origin_unknown, has not run) unless one version served alone for 30 s; a starting entry takes that from peers. Streams that go on take a busy engine of their version rather than end, and wait for one for as long as their pause is acceptable.

Ruled out: a hash of the attempt that chooses the version (versions come and go while streams run); asking peers when a caller returns (an entry that was killed cannot answer).

--- a/include/wisteriashunt/errors.h
+++ b/include/wisteriashunt/errors.h
@@ -19,6 +19,7 @@
     unknown_route,
     overloaded,
     no_endpoint,
+    stream_origin_unknown,
     not_ready,
     shutting_down,
     claim_log_unavailable,
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -84,7 +84,8 @@
     std::vector<candidate> unhealthy;
     for (const auto &endpoint : listed) {
         const auto &id = endpoint->record.id;
-        if (endpoint->record.isDraining || std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end()) {
+        const bool hasOtherVersion = request.softwareVersion && endpoint->record.softwareVersion != *request.softwareVersion;
+        if (hasOtherVersion || endpoint->record.isDraining || std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end()) {
             continue;
         }
         candidate found{.endpoint = endpoint, .load = m_loads.loadOf(id, now), .order = mixBits(hashText(id))};
@@ -326,16 +327,20 @@
         options.push_back(assess(request, each, hasShortStreams(each), doAllHaveShortStreams, now));
     }
     restrictToSample(request, options, now);
-    const auto best = std::min_element(options.begin(), options.end(), [](const long_prompt_option &left, const long_prompt_option &right) {
+    auto best = std::min_element(options.begin(), options.end(), [](const long_prompt_option &left, const long_prompt_option &right) {
         return std::make_tuple(left.obstacle != placement_obstacle::none, left.cost) < std::make_tuple(right.obstacle != placement_obstacle::none, right.cost);
     });
     if (best->obstacle != placement_obstacle::none) {
-        const auto earliestFirstByte = std::min_element(options.begin(), options.end(), [](const long_prompt_option &left, const long_prompt_option &right) {
-                                           return left.predictedFirstByte < right.predictedFirstByte;
-                                       })->predictedFirstByte;
+        best = std::min_element(options.begin(), options.end(), [](const long_prompt_option &left, const long_prompt_option &right) {
+            return left.predictedFirstByte < right.predictedFirstByte;
+        });
+    }
+    // A stream that goes on has few engines to choose from, and ends unfinished if none takes it.
+    const bool takesAnyEngine = request.softwareVersion.has_value() && best->predictedFirstByte <= request.maxFirstByteWait;
+    if (best->obstacle != placement_obstacle::none && !takesAnyEngine) {
         return {.refusal = placement_refusal::overloaded,
-                .retryAfter = std::max(earliestFirstByte, m_options.minRetryAfter),
-                .predictedFirstByte = earliestFirstByte};
+                .retryAfter = std::max(best->predictedFirstByte, m_options.minRetryAfter),
+                .predictedFirstByte = best->predictedFirstByte};
     }
     const auto cacheHolder = std::min_element(
         options.begin(), options.end(), [](const long_prompt_option &left, const long_prompt_option &right) { return left.uncached < right.uncached; });
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -11,6 +11,7 @@
 #include "membership/endpoint_roster.h"
 #include "wisteriashunt/time.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -87,6 +88,8 @@
     duration longestPause{};
     /// False if more urgent requests are waiting for the permits of endpoints that limit their requests per second.
     bool mayUsePermits = true;
+    /// Software version of the endpoints that may take the request; nullopt for any. Set for streams that go on.
+    std::optional<std::string> softwareVersion;
     /// IDs of endpoints that were already tried.
     std::vector<std::string> excluded;
 };
--- /dev/null
+++ b/src/dispatch/stream_versions.h
@@ -0,0 +1,142 @@
+/// Knows which software version of an endpoint began each stream, so that the stream goes on at that version only.
+///
+/// A caller may take a broken stream up at any entry. While endpoints of more than one version serve, entries therefore tell each other
+/// which streams began where, as soon as their first event is forwarded: an entry that is killed cannot be asked later. Once one version has
+/// served alone for long enough, nothing is told, and every stream is known to have begun at that version.
+#pragma once
+
+#include "membership/endpoint_roster.h"
+#include "wisteriashunt/time.h"
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace wisteriashunt
+{
+
+/// Service and software version of the endpoint that wrote a stream's first event.
+struct stream_origin
+{
+    std::string service;
+    std::string softwareVersion;
+
+    auto operator<=>(const stream_origin &) const = default;
+};
+
+/// A stream whose first event has been forwarded.
+struct begun_stream
+{
+    /// Hash of the ID of the caller's attempt.
+    std::uint64_t stream = 0;
+    stream_origin origin;
+    /// Time for which the caller may still take the stream up.
+    duration timeLeft{};
+
+    bool operator==(const begun_stream &) const = default;
+};
+
+/// A software version of a service, and when it was last listed.
+struct listed_version
+{
+    stream_origin version;
+    duration age{};
+
+    bool operator==(const listed_version &) const = default;
+};
+
+/// Part of a message between entries that concerns streams.
+struct stream_digest
+{
+    std::vector<begun_stream> begun;
+    /// All versions listed within stream_version_options::history. Empty if the entry does not know them for that long.
+    std::vector<listed_version> versions;
+
+    bool operator==(const stream_digest &) const = default;
+};
+
+/// Settings of stream_versions.
+struct stream_version_options
+{
+    /// Time for which a version that is no longer listed may have begun streams that callers still take up. Exceeds the time that callers wait
+    /// for a stream.
+    duration history = std::chrono::seconds(30);
+    /// Most streams that are known at a time; about 4 MB. Later ones are not recorded, and cannot be taken up while two versions serve.
+    std::size_t maxStreams = 65536;
+    /// Most streams per digest.
+    std::size_t maxBegunInDigest = 128;
+    /// Number of digests that carry each stream, in case one is lost.
+    int repetitions = 2;
+};
+
+/// Not thread-safe.
+class stream_versions
+{
+public:
+    /// The roster must outlive this object.
+    explicit stream_versions(const endpoint_roster &roster, const stream_version_options &options = {});
+
+    /// Records that the first event of a caller's attempt has been forwarded.
+    void onBegun(const std::string &attemptId, const stream_origin &origin, duration timeLeft, time_point now);
+
+    /// Returns where the stream of the attempt began; nullopt if that is not known. An attempt that is not known began at the version that
+    /// alone served the service, if it was the only one.
+    [[nodiscard]] std::optional<stream_origin> originOf(const std::string &attemptId, const std::string &service, time_point now);
+
+    /// Returns whether the next digest tells peers of streams.
+    [[nodiscard]] bool hasNews(time_point now) const;
+    [[nodiscard]] stream_digest digest(time_point now);
+    void onPeerDigest(const stream_digest &digest, time_point now);
+
+    /// Returns the number of streams that are known.
+    [[nodiscard]] std::size_t knownStreams() const
+    {
+        return m_streams.size();
+    }
+
+private:
+    struct known_stream
+    {
+        const stream_origin *origin = nullptr;
+        time_point expiresAt;
+    };
+    struct pending_stream
+    {
+        std::uint64_t stream = 0;
+        int repetitions = 0;
+    };
+
+    void record(std::uint64_t stream, const stream_origin &origin, time_point expiresAt, time_point now);
+    /// Notes the versions that are listed, and forgets those that have not been for longer than the history.
+    void observeVersions(time_point now);
+    void discardExpired(time_point now);
+    /// Returns whether all versions of the last history are known.
+    [[nodiscard]] bool isHistoryWhole(time_point now) const;
+    /// Returns whether an attempt that is not known may have begun at more than one version of its service.
+    [[nodiscard]] bool isAnyOriginAmbiguous(time_point now) const;
+    /// Returns the versions of a service within the history.
+    [[nodiscard]] std::vector<const stream_origin *> versionsOf(const std::string &service) const;
+    [[nodiscard]] std::vector<begun_stream> takePending(time_point now);
+
+    const endpoint_roster &m_roster;
+    stream_version_options m_options;
+    std::unordered_map<std::uint64_t, known_stream> m_streams;
+    /// Owns the origins that m_streams points to.
+    std::set<stream_origin> m_origins;
+    /// This entry's streams that peers have to be told of.
+    std::deque<pending_stream> m_pending;
+    /// When each version was last listed.
+    std::map<stream_origin, time_point> m_lastListed;
+    std::optional<time_point> m_observingSince;
+    /// Whether a peer that knew all versions has told them.
+    bool m_hasPeerHistory = false;
+    time_point m_discardedAt;
+};
+
+} // namespace wisteriashunt
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -73,12 +73,14 @@
     , m_loop(clock)
     , m_log(m_loop, {})
     , m_planner(m_roster, m_options.settings.availabilityZone, {.rateLimits = {.entryKey = hashText(m_options.settings.instance)}})
+    , m_streams(m_roster)
     , m_pool(m_loop, {.channel = {.peerTimeout = std::chrono::milliseconds(1000), .connectTimeout = std::chrono::milliseconds(200)}})
     , m_context{.loop = m_loop,
                 .dialect = m_options.dialect,
                 .log = m_log,
                 .roster = m_roster,
                 .planner = m_planner,
+                .streams = m_streams,
                 .pool = m_pool,
                 .counters = m_counters,
                 .retryOptions = m_options.settings.retries,
@@ -120,6 +122,7 @@
                        .onClosed = [this](caller_connection &caller) { m_readinessCallers.release(m_loop, caller); },
                        .onFault = [this](const auto &caller, read_fault fault) { onFault(caller, fault); }}))
 {
+    m_context.onStreamCut = [this] { announceStreams(); };
     m_roster.onUnavailable = [this](const endpoint_pointer &endpoint) {
         m_log.write(endpoint->isRemoved ? event_number::endpoint_gone : event_number::endpoint_draining, {{"endpoint", endpoint->record.id}});
         m_pool.closeIdle(endpoint);
@@ -179,11 +182,24 @@
         [this](const socket_address &from, const entry_message &message) { onPeerMessage(from, message); });
 }
 
+void gateway::announceStreams()
+{
+    if (m_peers == nullptr || m_isAnnouncementScheduled || !m_streams.hasNews(m_loop.now())) {
+        return;
+    }
+    m_isAnnouncementScheduled = true;
+    m_announcementTimer = m_loop.schedule(m_loop.now(), [this] {
+        m_isAnnouncementScheduled = false;
+        m_peers->sendNow();
+    });
+}
+
 void gateway::onPeerMessage(const socket_address &from, const entry_message &message)
 {
     for (const auto &change : m_planner.onPeerDigest(toString(from), message.load, m_loop.now())) {
         logRateLimitChange(m_log, change, {.key = "peer", .value = toString(from)});
     }
+    m_streams.onPeerDigest(message.streams, m_loop.now());
     m_context.onCapacityFreed();
     m_hasPeerMessage = true;
     m_newestPeerVersion = std::max(m_newestPeerVersion, message.declarationsVersion);
@@ -207,6 +223,7 @@
     m_counters.addGauge("endpoint_connections_opened", [this] { return static_cast<double>(m_pool.openedConnections()); });
     m_counters.addGauge("endpoints_listed", [this] { return static_cast<double>(m_roster.size()); });
     m_counters.addGauge("endpoints_with_rate_limit", [this] { return static_cast<double>(m_planner.rateLimits().limitedEndpoints()); });
+    m_counters.addGauge("known_streams", [this] { return static_cast<double>(m_streams.knownStreams()); });
     m_counters.addGauge("sharing_entries", [this] { return static_cast<double>(m_planner.sharingEntries(m_loop.now())); });
     m_counters.addGauge("live_entries", [this] { return static_cast<double>(m_planner.liveEntries(m_loop.now())); });
     m_counters.addGauge("declarations_version", [this] { return static_cast<double>(declarationsVersion()); });
@@ -220,6 +237,7 @@
     return {.declarationsVersion = declarationsVersion(),
             .isLeaving = m_leavingSince.has_value(),
             .load = m_planner.digest(m_loop.now()),
+            .streams = m_streams.digest(m_loop.now()),
             .logEpoch = m_endpointsFollower.epoch()};
 }
 
@@ -352,7 +370,7 @@
                          {"service", endpoint.service},
                          {"address", toString(endpoint.address)},
                          {"draining", endpoint.isDraining ? "yes" : "no"},
-                         {"software", endpoint.softwareVersion.value_or("-")},
+                         {"software", endpoint.softwareVersion},
                          {"offset", std::to_string(record.offset)}});
         }
     } catch (const shunt_error &error) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -74,6 +74,8 @@
     [[nodiscard]] entry_message composeMessage();
     void listen();
     void startPeerExchange();
+    /// Tells peers of this entry's streams at the end of this iteration of the loop, if they have not been told.
+    void announceStreams();
     void onPeerMessage(const socket_address &from, const entry_message &message);
     void addGauges();
 
@@ -82,6 +84,7 @@
     event_log m_log;
     endpoint_roster m_roster;
     placement_planner m_planner;
+    stream_versions m_streams;
     endpoint_pool m_pool;
     metrics m_counters;
     gateway_context m_context;
@@ -102,6 +105,8 @@
     std::optional<time_point> m_leavingSince;
     time_point m_startedAt;
     bool m_hasPeerMessage = false;
+    bool m_isAnnouncementScheduled = false;
+    timer_id m_announcementTimer = 0;
     /// Highest version of the declarations that a peer has announced.
     std::int64_t m_newestPeerVersion = -1;
 };
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -3,6 +3,7 @@
 
 #include "dispatch/placement.h"
 #include "dispatch/retry_allowance.h"
+#include "dispatch/stream_versions.h"
 #include "dispatch/waiting_line.h"
 #include "evidence/metrics.h"
 #include "gateway/endpoint_pool.h"
@@ -12,6 +13,7 @@
 #include "net/event_loop.h"
 #include "routing/route_table.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -35,6 +37,7 @@
     event_log &log;
     endpoint_roster &roster;
     placement_planner &planner;
+    stream_versions &streams;
     endpoint_pool &pool;
     metrics &counters;
     retry_allowance_options retryOptions;
@@ -44,6 +47,8 @@
     /// Endpoints whose unusable limits were logged, and when.
     std::map<std::string, time_point> unusableLimitReports;
     admission_queue queue;
+    /// Called before the connection of a caller is closed that may take its stream up at another entry.
+    std::function<void()> onStreamCut = [] {};
     bool isQueueRunScheduled = false;
     timer_id queueTimer = 0;
     /// Bytes of the bodies of open requests, and their limit.
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -23,7 +23,12 @@
 using packed_placement = std::tuple<std::uint64_t, std::string>;
 /// Limit, age in milliseconds and number of sent requests; the limit is -1 after its withdrawal.
 using packed_rate_limit = std::tuple<std::string, std::string, std::int64_t, double, std::int64_t, std::int64_t>;
-/// The last members are the epoch of the log, the limits of endpoints and the demand by service. Entries of earlier versions skip them.
+/// Service, software version and the streams that began there, by hash, with the milliseconds for which they may be taken up.
+using packed_streams = std::tuple<std::string, std::string, std::vector<std::tuple<std::uint64_t, std::int64_t>>>;
+/// Service, software version, and the milliseconds since it was last listed.
+using packed_version = std::tuple<std::string, std::string, std::int64_t>;
+/// The last members are the epoch of the log, the limits of endpoints, the demand by service, begun streams and software versions. Entries of
+/// earlier versions skip them.
 using packed_message = std::tuple<int,
                                   std::int64_t,
                                   bool,
@@ -33,7 +38,9 @@
                                   std::vector<packed_address>,
                                   std::int64_t,
                                   std::vector<packed_rate_limit>,
-                                  std::vector<packed_rate>>;
+                                  std::vector<packed_rate>,
+                                  std::vector<packed_streams>,
+                                  std::vector<packed_version>>;
 
 /// Returns the tokens of each rank without trailing zeros.
 std::vector<std::int64_t> packRanks(const ranked_tokens &tokens)
@@ -58,6 +65,27 @@
     return packed.empty() ? ranked_tokens(0, total) : tokens;
 }
 
+/// Returns the value if it is a finite number from 0 on. Throws shunt_error(malformed_frame) otherwise.
+template<typename Number>
+Number notNegative(Number value)
+{
+    if (!std::isfinite(static_cast<double>(value)) || value < 0) {
+        throw shunt_error(error_kind::malformed_frame, "peer message: expected a number from 0 on, found " + std::to_string(value));
+    }
+    return value;
+}
+
+duration unpackMilliseconds(std::int64_t value)
+{
+    constexpr std::int64_t maxMilliseconds = 86'400'000;
+    return std::chrono::milliseconds(std::min(notNegative(value), maxMilliseconds));
+}
+
+std::int64_t packMilliseconds(duration value)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
 constexpr double withdrawnLimit = -1;
 
 std::vector<packed_rate_limit> packRateLimits(const std::vector<rate_limit_notice> &notices)
@@ -68,32 +96,63 @@
                             notice.service,
                             notice.startedAtMilliseconds,
                             notice.perSecond.value_or(withdrawnLimit),
-                            std::chrono::duration_cast<std::chrono::milliseconds>(notice.age).count(),
+                            packMilliseconds(notice.age),
                             notice.sent);
     }
     return packed;
 }
 
-/// Returns the value if it is a finite number from 0 on. Throws shunt_error(malformed_frame) otherwise.
-template<typename Number>
-Number notNegative(Number value)
+std::vector<packed_streams> packStreams(const std::vector<begun_stream> &begun)
 {
-    if (!std::isfinite(static_cast<double>(value)) || value < 0) {
-        throw shunt_error(error_kind::malformed_frame, "peer message: expected a number from 0 on, found " + std::to_string(value));
+    std::map<stream_origin, std::vector<std::tuple<std::uint64_t, std::int64_t>>> byOrigin;
+    for (const auto &each : begun) {
+        byOrigin[each.origin].emplace_back(each.stream, packMilliseconds(each.timeLeft));
     }
-    return value;
+    std::vector<packed_streams> packed;
+    for (const auto &[origin, streams] : byOrigin) {
+        packed.emplace_back(origin.service, origin.softwareVersion, streams);
+    }
+    return packed;
+}
+
+std::vector<begun_stream> unpackStreams(const std::vector<packed_streams> &packed)
+{
+    std::vector<begun_stream> begun;
+    for (const auto &[service, version, streams] : packed) {
+        for (const auto &[stream, timeLeft] : streams) {
+            begun.push_back({.stream = stream, .origin = {.service = service, .softwareVersion = version}, .timeLeft = unpackMilliseconds(timeLeft)});
+        }
+    }
+    return begun;
+}
+
+std::vector<packed_version> packVersions(const std::vector<listed_version> &versions)
+{
+    std::vector<packed_version> packed;
+    for (const auto &[version, age] : versions) {
+        packed.emplace_back(version.service, version.softwareVersion, packMilliseconds(age));
+    }
+    return packed;
+}
+
+std::vector<listed_version> unpackVersions(const std::vector<packed_version> &packed)
+{
+    std::vector<listed_version> versions;
+    for (const auto &[service, version, age] : packed) {
+        versions.push_back({.version = {.service = service, .softwareVersion = version}, .age = unpackMilliseconds(age)});
+    }
+    return versions;
 }
 
 std::vector<rate_limit_notice> unpackRateLimits(const std::vector<packed_rate_limit> &packed)
 {
-    constexpr std::int64_t maxAgeMilliseconds = 86'400'000;
     std::vector<rate_limit_notice> notices;
     for (const auto &[id, service, startedAt, perSecond, age, sent] : packed) {
         notices.push_back({.endpointId = id,
                            .service = service,
                            .startedAtMilliseconds = startedAt,
                            .perSecond = perSecond == withdrawnLimit ? std::nullopt : std::optional(notNegative(perSecond)),
-                           .age = std::chrono::milliseconds(std::min(notNegative(age), maxAgeMilliseconds)),
+                           .age = unpackMilliseconds(age),
                            .sent = notNegative(sent)});
     }
     return notices;
@@ -137,7 +196,9 @@
                                  peers,
                                  message.logEpoch,
                                  packRateLimits(limits.notices),
-                                 demand});
+                                 demand,
+                                 packStreams(message.streams.begun),
+                                 packVersions(message.streams.versions)});
     return {buffer.data(), buffer.size()};
 }
 
@@ -145,7 +206,8 @@
 {
     try {
         const auto handle = unpackBounded(bytes);
-        const auto [format, version, isLeaving, loads, rates, placements, peers, logEpoch, rateLimits, demand] = handle.get().as<packed_message>();
+        const auto [format, version, isLeaving, loads, rates, placements, peers, logEpoch, rateLimits, demand, streams, versions] =
+            handle.get().as<packed_message>();
         if (format != formatVersion) {
             throw shunt_error(error_kind::malformed_frame,
                               "peer message: expected format " + std::to_string(formatVersion) + ", found " + std::to_string(format));
@@ -169,6 +231,7 @@
         for (const auto &[service, rate] : demand) {
             message.load.rateLimits.demand[service] = notNegative(rate);
         }
+        message.streams = {.begun = unpackStreams(streams), .versions = unpackVersions(versions)};
         for (const auto &[ip, port] : peers) {
             message.peers.push_back({.ip = ip, .port = port});
         }
@@ -232,9 +295,19 @@
         return;
     }
     auto message = m_compose();
-    if (message.load == load_digest{} && sinceLast < m_options.idlePeriod) {
+    if (message.load == load_digest{} && message.streams.begun.empty() && sinceLast < m_options.idlePeriod) {
         return;
     }
+    send(std::move(message), peers);
+}
+
+void peer_exchange::sendNow()
+{
+    send(m_compose(), recipients());
+}
+
+void peer_exchange::send(entry_message message, const std::vector<socket_address> &peers)
+{
     m_lastBroadcast = m_loop.now();
     message.peers = livePeers();
     const auto bytes = encodeEntryMessage(message);
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "dispatch/placement.h"
+#include "dispatch/stream_versions.h"
 #include "gateway/event_log.h"
 #include "net/datagram_socket.h"
 
@@ -25,6 +26,7 @@
     std::int64_t declarationsVersion = -1;
     bool isLeaving = false;
     load_digest load;
+    stream_digest streams;
     /// Highest epoch of the log that the sender has seen; 0 if it has seen none.
     std::int64_t logEpoch = 0;
     /// Other entries from which the sender has received a message recently.
@@ -70,12 +72,17 @@
     peer_exchange(const peer_exchange &) = delete;
     peer_exchange &operator=(const peer_exchange &) = delete;
 
+    /// Sends a message to all peers without waiting for the next round.
+    void sendNow();
+
     /// Peers from which a message has come within peerLifetime.
     [[nodiscard]] std::vector<socket_address> livePeers() const;
 
 private:
     void onDatagram(const socket_address &from, std::string_view bytes);
+    /// Sends a round of messages if one is due.
     void broadcast();
+    void send(entry_message message, const std::vector<socket_address> &peers);
     [[nodiscard]] std::vector<socket_address> recipients() const;
 
     event_loop &m_loop;
--- a/src/gateway/request_answers.cpp
+++ b/src/gateway/request_answers.cpp
@@ -41,6 +41,7 @@
     recordForwarding();
     if (!m_hasForwarded) {
         m_hasForwarded = true;
+        noteStreamBegun();
         std::string head;
         appendResponseHead(head, m_head.status, m_head.reason, endToEndHeaders(m_head.headers));
         m_caller->beginStream(std::move(head));
@@ -97,6 +98,9 @@
 {
     const auto caller = std::exchange(m_caller, nullptr);
     finish(event_number::request_cut, std::string(reason));
+    if (m_origin) {
+        m_context.onStreamCut();
+    }
     if (caller != nullptr) {
         caller->abort();
     }
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -84,12 +84,45 @@
         m_workspace = workspace->name;
         m_rank = m_table->rankOf(*m_route, workspace);
     }
+    return chooseServiceAndVersion();
+}
+
+bool request_session::isResumption() const
+{
+    return m_route->kind == repeatability::stream && m_route->isResumable && m_metadata.lastEvent.has_value();
+}
+
+std::optional<error_kind> request_session::chooseServiceAndVersion()
+{
     const auto *service = chooseService(*m_route, m_metadata.attemptId);
     if (service == nullptr) {
         return error_kind::no_endpoint;
     }
     m_service = *service;
-    return std::nullopt;
+    if (!isResumption()) {
+        return std::nullopt;
+    }
+    m_origin = m_context.streams.originOf(m_metadata.resumedAttempt, m_service, m_arrival);
+    if (!m_origin) {
+        return error_kind::stream_origin_unknown;
+    }
+    m_service = m_origin->service;
+    const auto &targets = m_route->targets;
+    const bool isStillTarget = std::any_of(targets.begin(), targets.end(), [this](const route_target &target) { return target.service == m_service; });
+    return isStillTarget ? std::nullopt : std::optional(error_kind::no_endpoint);
+}
+
+void request_session::noteStreamBegun()
+{
+    if (!m_route->isResumable || m_origin) {
+        return;
+    }
+    m_origin = {.service = m_service, .softwareVersion = m_placed->endpoint->record.softwareVersion};
+    m_placementRequest.softwareVersion = m_origin->softwareVersion;
+    const auto now = m_context.loop.now();
+    // Callers take broken streams up until their own deadline, which may lie beyond the route's timeout.
+    const auto timeLeft = m_arrival + m_metadata.callerTimeout.value_or(m_route->timeout) - now;
+    m_context.streams.onBegun(m_metadata.attemptId, *m_origin, timeLeft, now);
 }
 
 void request_session::start()
@@ -112,7 +145,8 @@
                           .hasPrompt = m_route->hasPrompt && service != nullptr && service->engineSlots > 0,
                           .requestKey = std::hash<std::string>{}(m_metadata.attemptId),
                           .rank = m_rank,
-                          .longestPause = m_route->eventGapTarget};
+                          .longestPause = m_route->eventGapTarget,
+                          .softwareVersion = m_origin ? std::optional(m_origin->softwareVersion) : std::nullopt};
     m_resumeAfter = m_metadata.lastEvent;
     m_context.allowanceOf(m_service).onRequest(m_arrival);
     m_context.planner.rateLimits().onArrival(m_service, m_rank, m_arrival);
@@ -152,9 +186,10 @@
 
 bool request_session::waitInQueue(const placement_decision &refused)
 {
-    // The rest of the target is left for the engine to prefill the prompt and generate the first event.
-    const time_point until = m_arrival + m_route->firstByteTarget / queueTimeDivisor;
-    if (m_hasForwarded || m_context.loop.now() >= until) {
+    // The rest of the target is left for the engine to prefill the prompt and generate the first event. A stream that goes on may wait for as
+    // long as its pause is acceptable.
+    const time_point until = m_hasForwarded ? m_lastByteAt + m_route->eventGapTarget : m_arrival + m_route->firstByteTarget / queueTimeDivisor;
+    if (m_context.loop.now() >= until) {
         return false;
     }
     m_context.log.write(event_number::attempt_queued,
@@ -263,7 +298,7 @@
                          {"tokens_there", std::to_string(load.waitingTokens.total())},
                          {"predicted_ms", milliseconds(placed.predictedFirstByte)},
                          {"passed_over", std::string(toString(placed.cacheHolderObstacle))},
-                         {"software", placed.endpoint->record.softwareVersion.value_or("-")},
+                         {"software", placed.endpoint->record.softwareVersion},
                          {"resume_after", m_resumeAfter ? std::to_string(*m_resumeAfter) : "-"},
                          {"resumes", m_metadata.resumedAttempt.empty() ? "-" : m_metadata.resumedAttempt},
                          {"entries", std::to_string(m_context.planner.liveEntries(m_sentAt))}});
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -33,6 +33,12 @@
 private:
     /// Routes and authenticates the request. Returns the error to refuse it with, if any.
     [[nodiscard]] std::optional<error_kind> admit();
+    /// Whether the caller takes up a stream that has begun before.
+    [[nodiscard]] bool isResumption() const;
+    /// Chooses the service, and for a stream that goes on the software version. Returns the error to refuse the request with, if any.
+    [[nodiscard]] std::optional<error_kind> chooseServiceAndVersion();
+    /// Binds the stream to the software version that wrote its first event.
+    void noteStreamBegun();
     void dispatch();
     /// Chooses an endpoint. Returns the reason if there is none.
     [[nodiscard]] placement_decision place();
@@ -111,6 +117,8 @@
     response_metadata m_response;
     std::string m_body;
     event_splitter m_events;
+    /// Resumable streams: where the first event was written, once it has been.
+    std::optional<stream_origin> m_origin;
     std::optional<std::int64_t> m_resumeAfter;
 };
 
--- a/src/membership/endpoint_roster.h
+++ b/src/membership/endpoint_roster.h
@@ -7,7 +7,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,8 +28,8 @@
     std::int64_t startedAtMilliseconds = 0;
     /// Increases with each record that the incarnation writes.
     std::int64_t sequence = 0;
-    /// Version of the endpoint's software, if its record names one. Streams that endpoints of two versions write do not fit together.
-    std::optional<std::string> softwareVersion;
+    /// Version of the endpoint's software. Streams that endpoints of two versions write do not fit together.
+    std::string softwareVersion;
 
     bool operator==(const endpoint_record &) const = default;
 };
@@ -105,6 +104,12 @@
     /// Returns the endpoints that the list contains for the service, including draining ones.
     [[nodiscard]] const std::vector<endpoint_pointer> &ofService(const std::string &service) const;
 
+    /// Returns the listed endpoints by service. Services without endpoints may be among them.
+    [[nodiscard]] const std::map<std::string, std::vector<endpoint_pointer>> &services() const
+    {
+        return m_services;
+    }
+
     [[nodiscard]] endpoint_pointer find(const std::string &id) const;
     /// Returns the number of endpoints, listed or removed, whose newest record is tracked so that older copies can be ignored.
     [[nodiscard]] std::size_t trackedRecords() const
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -372,6 +372,8 @@
                  .placements = {{77, "e1"}},
                  .rateLimits = {.notices = {{"e1", "s", 99, 2.5, std::chrono::milliseconds(40), 3}, {"e2", "s", 98, std::nullopt, {}, 0}},
                                 .demand = {{"s", 4.5}}}},
+        .streams = {.begun = {{.stream = 8, .origin = {"s", "v1"}, .timeLeft = std::chrono::milliseconds(1500)}},
+                    .versions = {{.version = {"s", "v2"}, .age = std::chrono::milliseconds(20)}}},
         .peers = {{.ip = 5, .port = 6}}};
     EXPECT_EQ(decodeEntryMessage(encodeEntryMessage(message)), message);
 }
