--- a/test/loopback_server.cpp
+++ b/test/loopback_server.cpp
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <cstdlib>
 #include <netinet/in.h>
 #include <poll.h>
 #include <stdexcept>
@@ -249,12 +250,21 @@
     }
 }
 
+/// WISTERIASHUNT_TEST_PORT sets another first port, so that tests can run beside each other.
+std::uint16_t firstFreePort()
+{
+    constexpr std::uint16_t standard = 22000;
+    const char *text = std::getenv("WISTERIASHUNT_TEST_PORT");
+    return text == nullptr ? standard : static_cast<std::uint16_t>(std::stoul(text));
+}
+
 std::uint16_t freePort()
 {
     // The range lies below the kernel's ephemeral ports, so that no outgoing connection can occupy a returned port.
-    static std::atomic<std::uint16_t> next{22000};
-    constexpr std::uint16_t last = 23000;
-    while (next < last) {
+    const std::uint16_t first = firstFreePort();
+    constexpr std::uint16_t range = 1000;
+    static std::atomic<std::uint16_t> next{first};
+    while (next < first + range) {
         const std::uint16_t port = next++;
         const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const auto address = loopback(port);
@@ -264,7 +274,7 @@
             return port;
         }
     }
-    throw std::runtime_error("no free loopback port from 22000 to 22999");
+    throw std::runtime_error("no free loopback port among " + std::to_string(range) + " from " + std::to_string(first));
 }
 
 } // namespace wisteriashunt::testing
