--- a/src/dispatch/endpoint_rate_limits.cpp
+++ b/src/dispatch/endpoint_rate_limits.cpp
@@ -142,7 +142,7 @@
 {
     if (state.perSecond) {
         const double rate = permitsPerSecond(state, now);
-        // Permits that accrued within permitLifetime remain; earlier ones have lapsed, each as a whole.
+        // Permits that accrued within permitLifetime remain; earlier ones have expired, each as a whole.
         const double kept = rate * toSeconds(m_options.permitLifetime);
         state.permits += rate * toSeconds(now - state.accruedAt);
         if (state.permits >= 1 + kept) {
--- a/src/dispatch/endpoint_rate_limits.h
+++ b/src/dispatch/endpoint_rate_limits.h
@@ -2,7 +2,7 @@
 /// as the endpoint declares it.
 ///
 /// Entries divide a limit without agreeing on each request. The share of an entry follows its part of the demand, as digests report it, and
-/// permits to send accrue at that share of the limit. Permits of different entries accrue at different moments and lapse if they are not used,
+/// permits to send accrue at that share of the limit. Permits of different entries accrue at different moments and expire if they are not used,
 /// so that many entries with small shares cannot send at the same time. As a second bound, digests report what each entry has sent, and no
 /// entry sends if the requests of all of them have reached the limit.
 #pragma once
@@ -65,7 +65,7 @@
 {
     /// Differs between entries. Spreads the moments at which their permits become available.
     std::uint64_t entryKey = 0;
-    /// Time after which an unused permit lapses.
+    /// Time after which an unused permit expires.
     duration permitLifetime = std::chrono::seconds(1);
     /// Share of permitLifetime in which a permit is for the most urgent requests only, if there have been any recently.
     double reservedLifetimeShare = 0.8;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -27,7 +28,13 @@
 inline constexpr std::chrono::milliseconds defaultRetryAfter{300};
 
 /// Logs a change of the limit that an endpoint declares, with what it was learnt from.
-void logRateLimitChange(event_log &log, const rate_limit_change &change, const log_field &source);
+inline void logRateLimitChange(event_log &log, const rate_limit_change &change, const log_field &source)
+{
+    const auto text = [](const std::optional<double> &limit) { return limit ? std::to_string(*limit) : "none"; };
+    log.write(
+        event_number::rate_limit_changed,
+        {{"endpoint", change.endpointId}, {"before", text(change.before)}, {"after", text(change.after)}, {"known_for_ms", milliseconds(change.age)}, source});
+}
 
 /// Shared state of an entry. Not thread-safe: used from the event loop's thread only.
 struct gateway_context
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -33,14 +33,6 @@
 
 } // namespace
 
-void logRateLimitChange(event_log &log, const rate_limit_change &change, const log_field &source)
-{
-    const auto text = [](const std::optional<double> &limit) { return limit ? std::to_string(*limit) : "none"; };
-    log.write(
-        event_number::rate_limit_changed,
-        {{"endpoint", change.endpointId}, {"before", text(change.before)}, {"after", text(change.after)}, {"known_for_ms", milliseconds(change.age)}, source});
-}
-
 request_session::request_session(gateway_context &context, std::shared_ptr<caller_connection> caller, received_request request)
     : m_context(context)
     , m_caller(std::move(caller))
--- a/test/endpoint_rate_limits_test.cpp
+++ b/test/endpoint_rate_limits_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,6 +22,20 @@
     return {.id = "e", .service = "model", .startedAtMilliseconds = startedAt};
 }
 
+/// Sends a request whenever one is permitted. Calls the hook before each try. Returns the number of requests.
+int sendAllThatIsPermitted(endpoint_rate_limits &limits, duration time, const std::function<void(time_point)> &beforeTry)
+{
+    int sent = 0;
+    for (auto now = start; now < start + time; now += milliseconds(5)) {
+        beforeTry(now);
+        if (limits.hasPermit(engine(), 0, now)) {
+            limits.onSent(engine(), now);
+            ++sent;
+        }
+    }
+    return sent;
+}
+
 TEST(endpoint_rate_limits_test, KnowsTheLimitOfTheNewestAnswer)
 {
     endpoint_rate_limits limits;
@@ -82,14 +97,7 @@
 {
     endpoint_rate_limits limits;
     limits.onAnswer(engine(), 80, start, start);
-    int sent = 0;
-    for (auto now = start; now < start + std::chrono::seconds(10); now += milliseconds(5)) {
-        if (limits.hasPermit(engine(), 0, now)) {
-            limits.onSent(engine(), now);
-            ++sent;
-        }
-    }
-    EXPECT_NEAR(sent, 100, 2) << "an eighth of 80 a second";
+    EXPECT_NEAR(sendAllThatIsPermitted(limits, std::chrono::seconds(10), [](time_point) {}), 100, 2) << "an eighth of 80 a second";
 }
 
 TEST(endpoint_rate_limits_test, AnEntryThatLosesItsPeersKeepsItsShareForAWhile)
@@ -99,31 +107,16 @@
     for (const std::string peer : {"a", "b", "c"}) {
         limits.onPeerDigest(peer, {}, start);
     }
-    int sent = 0;
-    for (auto now = start; now < start + std::chrono::seconds(8); now += milliseconds(5)) {
-        limits.onArrival("model", 0, now);
-        if (limits.hasPermit(engine(), 0, now)) {
-            limits.onSent(engine(), now);
-            ++sent;
-        }
-    }
-    EXPECT_NEAR(sent, 80, 2) << "a quarter of 40 a second";
+    const auto arrive = [&limits](time_point now) { limits.onArrival("model", 0, now); };
+    EXPECT_NEAR(sendAllThatIsPermitted(limits, std::chrono::seconds(8), arrive), 80, 2) << "a quarter of 40 a second";
 }
 
 TEST(endpoint_rate_limits_test, AnEndpointWhoseLimitIsZeroIsStillAskedNowAndThen)
 {
     endpoint_rate_limits limits;
     limits.onAnswer(engine(), 0, start, start);
-    limits.onPeerDigest("a", {}, start);
-    int sent = 0;
-    for (auto now = start; now < start + std::chrono::seconds(60); now += milliseconds(5)) {
-        limits.onPeerDigest("a", {}, now);
-        if (limits.hasPermit(engine(), 0, now)) {
-            limits.onSent(engine(), now);
-            ++sent;
-        }
-    }
-    EXPECT_NEAR(sent, 6, 1) << "half of one request in five seconds, as there are two entries";
+    const auto hearPeer = [&limits](time_point now) { limits.onPeerDigest("a", {}, now); };
+    EXPECT_NEAR(sendAllThatIsPermitted(limits, std::chrono::seconds(60), hearPeer), 6, 1) << "half of one request in five seconds, as there are two entries";
 }
 
 TEST(endpoint_rate_limits_test, NoEntrySendsMoreWhenPeersHaveUsedUpTheLimit)
--- a/test/rate_limit_fleet_test.cpp
+++ b/test/rate_limit_fleet_test.cpp
@@ -260,47 +260,51 @@
 class rate_limit_fleet_test : public ::testing::TestWithParam<std::tuple<int, double, int>>
 {
 protected:
-    static fleet_options options(std::uint32_t seed)
+    static std::size_t entries()
     {
-        return {.entries = std::get<0>(GetParam()), .limitedEngines = std::get<2>(GetParam()), .seed = seed};
+        return static_cast<std::size_t>(std::get<0>(GetParam()));
     }
     static double limit()
     {
         return std::get<1>(GetParam());
     }
-    static void expectNoExcess(const fleet &played, std::uint32_t seed)
+
+    /// Plays a scenario with several seeds, each after some time without limits, and expects that no engine gets more than it declares.
+    static void playSeeds(const std::function<void(fleet &)> &scenario)
     {
-        for (const int engine : played.limitedEngines()) {
-            EXPECT_LE(played.judge(engine).worstExcess(), 0) << "engine " << engine << ", seed " << seed << ": " << played.judge(engine).worst();
+        for (std::uint32_t seed = 1; seed <= seeds(); ++seed) {
+            fleet played({.entries = std::get<0>(GetParam()), .limitedEngines = std::get<2>(GetParam()), .seed = seed});
+            played.play(learningTime);
+            scenario(played);
+            for (const int engine : played.limitedEngines()) {
+                EXPECT_LE(played.judge(engine).worstExcess(), 0) << "engine " << engine << ", seed " << seed << ": " << played.judge(engine).worst();
+            }
         }
     }
+
+private:
     /// Seeds from 1 on. The environment variable SEEDS sets another number.
     static std::uint32_t seeds()
     {
         constexpr std::uint32_t forSmallFleet = 8;
         constexpr std::uint32_t forLargeFleet = 2;
-        constexpr int smallFleet = 4;
+        constexpr std::size_t smallFleet = 4;
         const char *number = std::getenv("SEEDS");
-        return number != nullptr ? static_cast<std::uint32_t>(std::stoul(number)) : std::get<0>(GetParam()) > smallFleet ? forLargeFleet : forSmallFleet;
+        return number != nullptr ? static_cast<std::uint32_t>(std::stoul(number)) : entries() > smallFleet ? forLargeFleet : forSmallFleet;
     }
 };
 
 TEST_P(rate_limit_fleet_test, EnginesGetNoMoreRequestsThanTheyDeclare)
 {
-    for (std::uint32_t seed = 1; seed <= seeds(); ++seed) {
-        fleet played(options(seed));
-        played.play(learningTime);
+    playSeeds([](fleet &played) {
         played.limitBusiest(limit());
         played.play(seconds(15));
-        expectNoExcess(played, seed);
-    }
+    });
 }
 
 TEST_P(rate_limit_fleet_test, EnginesGetNoMoreRequestsWhileTheirLimitsChange)
 {
-    for (std::uint32_t seed = 1; seed <= seeds(); ++seed) {
-        fleet played(options(seed));
-        played.play(learningTime);
+    playSeeds([](fleet &played) {
         for (const double factor : {1.0, 3.0, 0.5, 2.0, 0.0, 1.0}) {
             played.limitBusiest(limit() * factor);
             played.play(seconds(5));
@@ -309,15 +313,12 @@
         played.play(seconds(6));
         played.limitBusiest(limit());
         played.play(seconds(9));
-        expectNoExcess(played, seed);
-    }
+    });
 }
 
 TEST_P(rate_limit_fleet_test, EnginesGetNoMoreRequestsWhileEntriesComeAndGo)
 {
-    for (std::uint32_t seed = 1; seed <= seeds(); ++seed) {
-        fleet played(options(seed));
-        played.play(learningTime);
+    playSeeds([](fleet &played) {
         played.limitBusiest(limit());
         played.play(seconds(4));
         played.setUp(0, false);
@@ -327,16 +328,13 @@
         played.play(milliseconds(300));
         played.setUp(1, true);
         played.play(seconds(8));
-        expectNoExcess(played, seed);
-    }
+    });
 }
 
 TEST_P(rate_limit_fleet_test, EnginesGetNoMoreRequestsWhileEntriesDoNotHearEachOther)
 {
-    for (std::uint32_t seed = 1; seed <= seeds(); ++seed) {
-        fleet played(options(seed));
-        played.play(learningTime);
-        for (std::size_t i = 0; i < static_cast<std::size_t>(std::get<0>(GetParam())); ++i) {
+    playSeeds([](fleet &played) {
+        for (std::size_t i = 0; i < entries(); ++i) {
             played.setPeersReached(i, false);
         }
         played.limitBusiest(limit());
@@ -344,27 +342,23 @@
         played.setPeersReached(0, true);
         played.setPeersReached(1, true);
         played.play(seconds(7));
-        expectNoExcess(played, seed);
-    }
+    });
 }
 
 TEST_P(rate_limit_fleet_test, EnginesGetNoBurstOfEntriesThatHadNoRequestsForAWhile)
 {
-    for (std::uint32_t seed = 1; seed <= seeds(); ++seed) {
-        fleet played(options(seed));
-        played.play(learningTime);
+    playSeeds([](fleet &played) {
         played.limitBusiest(limit());
         played.play(seconds(3));
-        for (std::size_t i = 0; i < static_cast<std::size_t>(std::get<0>(GetParam())); ++i) {
+        for (std::size_t i = 0; i < entries(); ++i) {
             played.setDemand(i, false);
         }
         played.play(seconds(10));
-        for (std::size_t i = 0; i < static_cast<std::size_t>(std::get<0>(GetParam())); ++i) {
+        for (std::size_t i = 0; i < entries(); ++i) {
             played.setDemand(i, true);
         }
         played.play(seconds(6));
-        expectNoExcess(played, seed);
-    }
+    });
 }
 
 TEST(rate_limit_fleet_service_test, RequestsGoToEnginesWithoutLimits)
