--- a/test/entry_soak_test.cpp
+++ b/test/entry_soak_test.cpp
@@ -273,7 +273,7 @@
     std::array<entry_ports, entries> m_ports;
     std::array<pid_t, entries> m_processes{};
     std::atomic<bool> m_isBeforeFaults{true};
-    const boot_clock m_clock;
+    boot_clock m_clock;
     std::mutex m_limitsMutex;
     std::array<std::optional<double>, endpoints> m_limits;
     std::array<rate_limit_judge, endpoints> m_judges;
--- a/test/rate_limited_endpoint_test.cpp
+++ b/test/rate_limited_endpoint_test.cpp
@@ -54,7 +54,7 @@
         return failed;
     }
 
-    const boot_clock m_clock;
+    boot_clock m_clock;
     std::array<entry_ports, entryCount> m_entries;
     std::mutex m_mutex;
     rate_limit_judge m_judge;
