Count the withdrawal of a limit from the time at which its request was sent

Cause, by reading: an answer without a limit counted from its arrival. One that was written before the limit and arrived after it withdrew the limit at a peer that knew better, until that peer's next answer. Before: endpoint_rate_limits_test.ALateAnswerWithoutALimitDoesNotWithdrawWhatAPeerLearntMeanwhile failed at both entries. After: it passes.

--- a/src/dispatch/endpoint_rate_limits.cpp
+++ b/src/dispatch/endpoint_rate_limits.cpp
@@ -76,8 +76,12 @@
 std::optional<rate_limit_change>
 endpoint_rate_limits::onAnswer(const endpoint_record &endpoint, std::optional<double> perSecond, time_point sentAt, time_point now)
 {
-    const rate_limit_notice observed{
-        .endpointId = endpoint.id, .service = endpoint.service, .startedAtMilliseconds = endpoint.startedAtMilliseconds, .perSecond = perSecond};
+    // An answer was written after its request was sent. What it says counts from the time that keeps a limit for longer.
+    const rate_limit_notice observed{.endpointId = endpoint.id,
+                                     .service = endpoint.service,
+                                     .startedAtMilliseconds = endpoint.startedAtMilliseconds,
+                                     .perSecond = perSecond,
+                                     .age = perSecond ? duration{} : now - sentAt};
     const auto known = m_endpoints.find(endpoint.id);
     if (known == m_endpoints.end() || known->second.startedAtMilliseconds < endpoint.startedAtMilliseconds) {
         return perSecond ? apply(observed, now) : std::nullopt;
--- a/test/endpoint_rate_limits_test.cpp
+++ b/test/endpoint_rate_limits_test.cpp
@@ -93,6 +93,23 @@
     EXPECT_EQ(informed.limitOf(engine()), std::nullopt) << "the withdrawal reaches the peer";
 }
 
+TEST(endpoint_rate_limits_test, ALateAnswerWithoutALimitDoesNotWithdrawWhatAPeerLearntMeanwhile)
+{
+    endpoint_roster roster;
+    roster.apply(engine());
+    endpoint_rate_limits slow;
+    endpoint_rate_limits informed;
+    slow.onAnswer(engine(), 2.5, start, start);
+    slow.onAnswer(engine(), std::nullopt, start + milliseconds(10), start + milliseconds(20));
+    informed.onAnswer(engine(), 4, start + milliseconds(100), start + milliseconds(130));
+    // Sent before the endpoint declared the limit, and answered after a peer had learnt of it.
+    slow.onAnswer(engine(), std::nullopt, start + milliseconds(90), start + milliseconds(150));
+    informed.onPeerDigest("slow", slow.digest(roster, start + milliseconds(160)), start + milliseconds(160));
+    EXPECT_EQ(informed.limitOf(engine()), 4);
+    slow.onPeerDigest("informed", informed.digest(roster, start + milliseconds(170)), start + milliseconds(170));
+    EXPECT_EQ(slow.limitOf(engine()), 4);
+}
+
 TEST(endpoint_rate_limits_test, AnEntryThatKnowsNoPeersTakesASmallShare)
 {
     endpoint_rate_limits limits;
