Allow for rounding in the judge of limits

The allowance is a sum of 80 steps. A millionth of a request is no request; the bound is as strict as before for whole ones.

--- a/test/rate_limit_judge.h
+++ b/test/rate_limit_judge.h
@@ -55,7 +55,7 @@
         const auto first = std::upper_bound(m_counted.begin(), m_counted.end(), now - window);
         const auto allowed = allowedUntil(now);
         const auto excess = static_cast<double>(m_counted.end() - first) - allowed;
-        if (now - limitedSince() >= settleTime && excess > m_worstExcess) {
+        if (now - limitedSince() >= settleTime && excess > m_worstExcess + roundingError) {
             m_worstExcess = excess;
             m_worst = std::to_string(m_counted.end() - first) + " requests in 4 s, allowed " + std::to_string(allowed);
         }
@@ -87,6 +87,8 @@
     static constexpr std::chrono::seconds window{4};
     static constexpr std::chrono::milliseconds toldFor{500};
     static constexpr std::chrono::seconds settleTime{3};
+    /// Of allowedUntil(); far below one request.
+    static constexpr double roundingError = 1e-6;
     static constexpr double allowedShare = 1.5;
     static constexpr double allowedBurst = 5;
 
@@ -106,9 +108,9 @@
         constexpr std::chrono::milliseconds step{50};
         double sum = 0;
         for (auto at = now - window; at < now; at += step) {
-            sum += largestLimit(at - toldFor, at) * toSeconds(step);
+            sum += largestLimit(at - toldFor, at);
         }
-        return allowedShare * sum + allowedBurst;
+        return allowedShare * sum * toSeconds(step) + allowedBurst;
     }
 
     [[nodiscard]] double largestLimit(time_point from, time_point to) const
