Say why eight entries are assumed, and ask the queue once in a dispatch

Read as a newcomer: the constant lacked its reason, the comment on an answer's age had to be read twice, and the queue was asked twice. Behaviour is as it was.

--- a/src/dispatch/endpoint_rate_limits.cpp
+++ b/src/dispatch/endpoint_rate_limits.cpp
@@ -76,7 +76,8 @@
 std::optional<rate_limit_change>
 endpoint_rate_limits::onAnswer(const endpoint_record &endpoint, std::optional<double> perSecond, time_point sentAt, time_point now)
 {
-    // An answer was written after its request was sent. What it says counts from the time that keeps a limit for longer.
+    // The answer was written at some time between the sending of its request and now. The age makes sure that, of two observations whose
+    // order is unknown, the one with a limit holds.
     const rate_limit_notice observed{.endpointId = endpoint.id,
                                      .service = endpoint.service,
                                      .startedAtMilliseconds = endpoint.startedAtMilliseconds,
--- a/src/dispatch/entry_census.h
+++ b/src/dispatch/entry_census.h
@@ -1,4 +1,4 @@
-/// Counts the entries among which a quantity is divided that holds for all of them together.
+/// Counts the entries that share a quantity, such as a limit on the requests of all of them together.
 #pragma once
 
 #include "wisteriashunt/time.h"
@@ -13,7 +13,8 @@
 /// Settings of entry_census.
 struct entry_census_options
 {
-    /// Number of entries to assume as long as no peer is known.
+    /// Number of entries to assume as long as no peer is known. More than small fleets have, because too large a share exceeds limits, and too
+    /// small a one only leaves them unused until the first peer is heard.
     std::size_t assumedEntries = 8;
     /// Time for which a peer that is no longer heard counts while others are heard.
     duration peerMemory = std::chrono::seconds(30);
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -166,8 +166,9 @@
 
 void request_session::dispatch()
 {
-    const bool mustQueue = m_placementRequest.hasPrompt && m_context.planner.isLongPrompt(m_placementRequest) && m_context.queue.hasWaiting(m_service, m_rank);
-    m_placementRequest.mayUsePermits = !m_context.queue.hasWaiting(m_service, m_rank);
+    const bool hasWaiting = m_context.queue.hasWaiting(m_service, m_rank);
+    const bool mustQueue = hasWaiting && m_placementRequest.hasPrompt && m_context.planner.isLongPrompt(m_placementRequest);
+    m_placementRequest.mayUsePermits = !hasWaiting;
     const auto decision = mustQueue ? placement_decision{.refusal = placement_refusal::overloaded, .retryAfter = defaultRetryAfter} : place();
     if (decision.refusal == placement_refusal::none) {
         send(decision.chosen);
