--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -274,6 +274,7 @@
     m_head = {};
     m_response = {};
     m_body.clear();
+    m_boundary = {};
     ++m_sentAttempts;
     m_placementRequest.excluded.push_back(placed.endpoint->record.id);
     m_context.planner.onSent(m_placementRequest, placed, m_sentAt);
@@ -352,6 +353,7 @@
     if (!isStreamSuccess()) {
         m_body.append(bytes);
     } else if (m_caller != nullptr) {
+        m_boundary.feed(bytes);
         forwardEvents(m_route->isResumable ? m_events.feed(bytes) : bytes);
         if (m_events.isOutOfOrder()) {
             dropAttempt();
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -3,6 +3,7 @@
 
 #include "dispatch/attempt_policy.h"
 #include "dispatch/placement.h"
+#include "gateway/event_boundary.h"
 #include "gateway/event_splitter.h"
 #include "gateway/gateway_context.h"
 #include "http/caller_connection.h"
@@ -117,6 +118,8 @@
     response_metadata m_response;
     std::string m_body;
     event_splitter m_events;
+    /// Where the answer of the current attempt stands between its events.
+    event_boundary m_boundary;
     /// Resumable streams: where the first event was written, once it has been.
     std::optional<stream_origin> m_origin;
     std::optional<std::int64_t> m_resumeAfter;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -29,6 +29,21 @@
     return first == std::string_view::npos ? std::string_view{} : text.substr(first, text.find_last_not_of(blanks) - first + 1);
 }
 
+std::string_view toString(body_framing framing)
+{
+    switch (framing) {
+    case body_framing::none:
+        return "none";
+    case body_framing::length:
+        return "length";
+    case body_framing::chunks:
+        return "chunks";
+    case body_framing::connection_end:
+        return "connection_end";
+    }
+    return "unknown";
+}
+
 const std::string *findHeader(const header_list &headers, std::string_view name)
 {
     const auto position = std::find_if(headers.begin(), headers.end(), [name](const header_field &field) { return equalsIgnoreCase(field.name, name); });
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -45,6 +45,18 @@
     bool keepsAlive = true;
 };
 
+/// What marks the end of a response's body.
+enum class body_framing {
+    /// The response has no body, by its status.
+    none,
+    length,
+    chunks,
+    /// Neither a length nor chunks: the body extends to the end of the connection.
+    connection_end,
+};
+
+[[nodiscard]] std::string_view toString(body_framing framing);
+
 /// Status line and fields of a response.
 struct http_response_head
 {
@@ -52,6 +64,7 @@
     std::string reason;
     header_list headers;
     bool keepsAlive = true;
+    body_framing framing = body_framing::none;
 };
 
 /// Appends "NAME: VALUE\r\n".
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -71,6 +71,20 @@
     lastWasValue = true;
 }
 
+/// Returns how the body of a response ends (RFC 9112, 6.3).
+body_framing framingOf(const http_parser &parser)
+{
+    constexpr unsigned noContent = 204;
+    constexpr unsigned notModified = 304;
+    if (parser.status_code == noContent || parser.status_code == notModified) {
+        return body_framing::none;
+    }
+    if ((parser.flags & F_CHUNKED) != 0) {
+        return body_framing::chunks;
+    }
+    return (parser.flags & F_CONTENTLENGTH) != 0 ? body_framing::length : body_framing::connection_end;
+}
+
 /// The callbacks that request and response readers have in common.
 http_parser_settings callbackTable(http_data_cb onField, http_data_cb onValue, http_cb onHeaders, http_data_cb onBody, http_cb onComplete)
 {
@@ -306,6 +320,7 @@
     }
     reader.m_head.status = static_cast<int>(parser->status_code);
     reader.m_head.keepsAlive = http_should_keep_alive(parser) != 0;
+    reader.m_head.framing = framingOf(*parser);
     reader.m_hooks.onHead(reader.m_head);
     return 0;
 }
--- a/test/message_reader_test.cpp
+++ b/test/message_reader_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
+
 namespace wisteriashunt
 {
 namespace
@@ -127,6 +129,38 @@
     EXPECT_EQ(m_reported, "head 200;body ab;");
 }
 
+/// Fields of a response and what they say about its end.
+struct framing_case
+{
+    const char *name;
+    const char *head;
+    body_framing framing;
+};
+
+class body_framing_test : public ::testing::TestWithParam<framing_case>
+{
+};
+
+TEST_P(body_framing_test, NamesWhatMarksTheEndOfTheBody)
+{
+    std::optional<body_framing> framing;
+    response_reader reader{{.onHead = [&](http_response_head &head) { framing = head.framing; }, .onBody = [](std::string_view) {}, .onComplete = [] {}}};
+    static_cast<void>(reader.feed(std::string(GetParam().head) + "\r\n"));
+    ASSERT_TRUE(framing.has_value()) << GetParam().head;
+    EXPECT_EQ(toString(*framing), toString(GetParam().framing)) << GetParam().head;
+}
+
+INSTANTIATE_TEST_SUITE_P(Heads,
+                         body_framing_test,
+                         ::testing::Values(framing_case{"Length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n", body_framing::length},
+                                           framing_case{"EmptyBody", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", body_framing::length},
+                                           framing_case{"Chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", body_framing::chunks},
+                                           framing_case{"Neither", "HTTP/1.1 200 OK\r\n", body_framing::connection_end},
+                                           framing_case{"NeitherWithKeepAlive", "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n", body_framing::connection_end},
+                                           framing_case{"NeitherInHttp10", "HTTP/1.0 200 OK\r\n", body_framing::connection_end},
+                                           framing_case{"NoContent", "HTTP/1.1 204 No Content\r\n", body_framing::none}),
+                         [](const auto &tested) { return std::string(tested.param.name); });
+
 TEST_F(response_reader_test, ReportsMalformedResponse)
 {
     m_reader.feed("garbage\r\n\r\n");
