--- /dev/null
+++ b/test/broken_answer_test.cpp
@@ -0,0 +1,303 @@
+// Walks all ways in which an endpoint's answer can end too early, and checks that callers can tell it from a complete one.
+#include "gateway_fixture.h"
+
+#include <map>
+#include <mutex>
+
+namespace wisteriashunt::testing
+{
+namespace
+{
+
+/// How the endpoint frames the body of its answer.
+enum class framing {
+    length,
+    chunks,
+    connection_end,
+    connection_end_http10,
+};
+
+/// Where the answer ends.
+enum class cut_at {
+    in_head,
+    after_head,
+    after_first_event,
+    after_id,
+    in_data,
+    between_line_ends,
+    in_chunk_size,
+    before_last_chunk,
+    after_all_bytes,
+};
+
+/// How the connection ends.
+enum class ending {
+    close,
+    reset,
+};
+
+struct broken_answer
+{
+    const char *path;
+    framing framed;
+    cut_at cut;
+    ending ended;
+    bool isByteByByte;
+};
+
+const std::string firstEvent = "id: 1\ndata: a\n\n";
+const std::string secondEvent = "id: 2\ndata: bb\n\n";
+const std::string thirdEvent = "id: 3\ndata: ccc\n\n";
+const std::string wholeStream = firstEvent + secondEvent + thirdEvent;
+
+/// Bytes of the answer's body before its end.
+std::string bodyBefore(cut_at cut)
+{
+    switch (cut) {
+    case cut_at::in_head:
+    case cut_at::after_head:
+        return "";
+    case cut_at::after_first_event:
+        return firstEvent;
+    case cut_at::after_id:
+        return firstEvent + "id: 2\n";
+    case cut_at::in_data:
+        return firstEvent + "id: 2\nda";
+    case cut_at::between_line_ends:
+    case cut_at::in_chunk_size:
+        return firstEvent + "id: 2\ndata: bb\n";
+    case cut_at::before_last_chunk:
+    case cut_at::after_all_bytes:
+        return wholeStream;
+    }
+    return "";
+}
+
+std::string answerBytes(const broken_answer &broken, const received_request &got)
+{
+    const std::string body = bodyBefore(broken.cut);
+    std::string head = okHead(got);
+    if (broken.framed == framing::connection_end_http10) {
+        head.replace(0, std::string_view("HTTP/1.1").size(), "HTTP/1.0");
+    }
+    if (broken.cut == cut_at::in_head) {
+        return head;
+    }
+    switch (broken.framed) {
+    case framing::length:
+        return head + "Content-Length: " + std::to_string(wholeStream.size()) + "\r\n\r\n" + body;
+    case framing::chunks:
+        return head + "Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + (broken.cut == cut_at::in_chunk_size ? "1" : "")
+            + (broken.cut == cut_at::after_all_bytes ? std::string(lastChunk) : "");
+    case framing::connection_end:
+    case framing::connection_end_http10:
+        return head + "\r\n" + body;
+    }
+    return "";
+}
+
+/// A caller's view of a response.
+struct caller_view
+{
+    int status = 0;
+    std::string body;
+    /// Whether the framing says that the response is complete.
+    bool isComplete = false;
+};
+
+caller_view viewOf(const std::string &reply)
+{
+    caller_view view;
+    response_reader reader({.onHead = [&](http_response_head &head) { view.status = head.status; },
+                            .onBody = [&](std::string_view bytes) { view.body.append(bytes); },
+                            .onComplete = [&] { view.isComplete = true; }});
+    static_cast<void>(reader.feed(reply));
+    return view;
+}
+
+/// Whether the protocol leaves no way to tell the answer from a complete one: its end is the end of its connection, which was closed in order,
+/// at a place where a complete answer may end.
+bool isIndistinguishable(const broken_answer &broken)
+{
+    const bool endsWithConnection = broken.framed == framing::connection_end || broken.framed == framing::connection_end_http10;
+    if (!endsWithConnection || broken.ended != ending::close || broken.cut == cut_at::in_head) {
+        return false;
+    }
+    const bool isStream = std::string_view(broken.path) == "/talk/" || std::string_view(broken.path) == "/draft/";
+    return !isStream || broken.cut == cut_at::after_first_event;
+}
+
+std::string nameOf(framing framed)
+{
+    switch (framed) {
+    case framing::length:
+        return "Length";
+    case framing::chunks:
+        return "Chunks";
+    case framing::connection_end:
+        return "ConnectionEnd";
+    case framing::connection_end_http10:
+        return "ConnectionEndHttp10";
+    }
+    return "";
+}
+
+std::string nameOf(cut_at cut)
+{
+    switch (cut) {
+    case cut_at::in_head:
+        return "in head";
+    case cut_at::after_head:
+        return "after head";
+    case cut_at::after_first_event:
+        return "after first event";
+    case cut_at::after_id:
+        return "after ID";
+    case cut_at::in_data:
+        return "in data";
+    case cut_at::between_line_ends:
+        return "between line ends";
+    case cut_at::in_chunk_size:
+        return "in chunk size";
+    case cut_at::before_last_chunk:
+        return "before last chunk";
+    case cut_at::after_all_bytes:
+        return "after all bytes";
+    }
+    return "";
+}
+
+std::string routeName(const std::string &path)
+{
+    return path.substr(1, path.size() - 2);
+}
+
+std::string nameOf(const broken_answer &broken)
+{
+    return routeName(broken.path) + ", " + nameOf(broken.framed) + ", cut " + nameOf(broken.cut) + (broken.ended == ending::close ? ", closed" : ", reset")
+        + (broken.isByteByByte ? ", byte by byte" : "");
+}
+
+/// Returns all ways in which an answer of this framing can end.
+std::vector<broken_answer> brokenAnswers(const char *path, framing framed)
+{
+    std::vector<broken_answer> all;
+    for (const auto cut : {cut_at::in_head,
+                           cut_at::after_head,
+                           cut_at::after_first_event,
+                           cut_at::after_id,
+                           cut_at::in_data,
+                           cut_at::between_line_ends,
+                           cut_at::in_chunk_size,
+                           cut_at::before_last_chunk,
+                           cut_at::after_all_bytes}) {
+        const bool needsChunks = cut == cut_at::in_chunk_size || cut == cut_at::before_last_chunk;
+        if (needsChunks && framed != framing::chunks) {
+            continue;
+        }
+        for (const auto ended : {ending::close, ending::reset}) {
+            for (const bool isByteByByte : {false, true}) {
+                all.push_back({path, framed, cut, ended, isByteByByte});
+            }
+        }
+    }
+    return all;
+}
+
+class broken_answer_test : public gateway_test
+{
+protected:
+    /// Starts endpoints that break the first attempt of each caller off, and answer the next one, from the event that it resumes after.
+    void startEndpoints()
+    {
+        const auto handle = [this](const received_request &got) {
+            const auto attempt = attemptIdOf(got);
+            std::optional<broken_answer> broken;
+            {
+                const std::lock_guard lock(m_mutex);
+                const auto found = m_broken.find(attempt);
+                if (found != m_broken.end()) {
+                    broken = found->second;
+                    m_broken.erase(found);
+                }
+            }
+            if (broken) {
+                return breakOff(*broken, got);
+            }
+            const auto *after = findHeader(got.headers, "last-event-id");
+            const std::string rest = after == nullptr ? wholeStream : *after == "1" ? secondEvent + thirdEvent : *after == "2" ? thirdEvent : std::string();
+            return scripted_response{.parts = {okHead(got) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(rest) + std::string(lastChunk)}};
+        };
+        start(handle, handle);
+    }
+
+    /// Calls the entry once; the endpoint breaks the first attempt off.
+    caller_view callBroken(const broken_answer &broken)
+    {
+        const std::string attempt = "a" + std::to_string(++m_calls);
+        {
+            const std::lock_guard lock(m_mutex);
+            m_broken.emplace(attempt, broken);
+        }
+        auto bytes = request(broken.path);
+        const std::string standard = "X-Attempt-Id: a1";
+        bytes.replace(bytes.find(standard), standard.size(), "X-Attempt-Id: " + attempt);
+        return viewOf(callOnce(bytes));
+    }
+
+private:
+    static scripted_response breakOff(const broken_answer &broken, const received_request &got)
+    {
+        const auto bytes = answerBytes(broken, got);
+        scripted_response answer{.parts = {bytes}, .closes = broken.ended == ending::close, .resets = broken.ended == ending::reset};
+        if (broken.isByteByByte) {
+            answer.parts.clear();
+            for (const char byte : bytes) {
+                answer.parts.emplace_back(1, byte);
+            }
+        }
+        return answer;
+    }
+
+    std::mutex m_mutex;
+    std::map<std::string, broken_answer> m_broken;
+    int m_calls = 0;
+};
+
+/// The route's path, and how the endpoint frames its answers.
+class framed_answer_test : public broken_answer_test, public ::testing::WithParamInterface<std::tuple<const char *, framing>>
+{
+};
+
+TEST_P(framed_answer_test, NeverLooksCompleteWhenItIsBrokenOff)
+{
+    m_retrySlack = 1000;
+    startEndpoints();
+    const auto [path, framed] = GetParam();
+    const bool mayRepeat = std::string_view(path) == "/read/" || std::string_view(path) == "/draft/";
+    for (const auto &broken : brokenAnswers(path, framed)) {
+        SCOPED_TRACE(nameOf(broken));
+        const auto view = callBroken(broken);
+        const bool looksWhole = view.isComplete && view.status == 200;
+        if (isIndistinguishable(broken)) {
+            EXPECT_TRUE(wholeStream.starts_with(view.body)) << view.body;
+            continue;
+        }
+        if (looksWhole) {
+            EXPECT_EQ(view.body, wholeStream);
+        }
+        EXPECT_TRUE(view.status != 200 || wholeStream.starts_with(view.body)) << "no event twice and none missing: " << view.body;
+        if (mayRepeat) {
+            EXPECT_TRUE(looksWhole) << "the other endpoint can answer: status " << view.status << ", body " << view.body;
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers,
+                         framed_answer_test,
+                         ::testing::Combine(::testing::Values("/read/", "/book/", "/talk/", "/draft/"),
+                                            ::testing::Values(framing::length, framing::chunks, framing::connection_end, framing::connection_end_http10)),
+                         [](const auto &tested) { return routeName(std::get<0>(tested.param)) + nameOf(std::get<1>(tested.param)); });
+
+} // namespace
+} // namespace wisteriashunt::testing
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -47,6 +47,7 @@
             settings.acceptWhileLeaving = {};
             settings.metricsAddress.reset();
             settings.maxMemoryBytes = m_memoryBytes;
+            settings.retries.slack = m_retrySlack;
             gateway entry({.settings = settings,
                            .dialect = platform::makeWireDialect(),
                            .logDialect = platform::makeLogDialect(),
@@ -91,6 +92,7 @@
     fake_log m_log;
     entry_ports m_ports;
     std::size_t m_memoryBytes = 260'000'000;
+    double m_retrySlack = 52;
 
 private:
     std::atomic<bool> m_isStopRequested{false};
