Treat streams that end within an event or before the first as broken off

Callers saw: streams that an engine had broken off arrived with 200, the engine's signature and their last chunk (ORDER).

Cause: an answer with neither a length nor chunks ends with its connection, and an engine that crashes closes it in order as well. The reader then completes the response; the check for an unfinished event applied to resumable routes only, and no check at all to an answer without a single event. The class: the end of a connection is taken for the end of a message.

Why it works: all streams of events go through event_splitter, which gives callers whole events only, with LF, CRLF or CR, and knows at the end whether one is unfinished. Such an attempt is broken: resumed where the route allows, otherwise the caller's connection is closed without a last chunk, and the endpoint's health counts it.

--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -1,66 +1,80 @@
 #include "gateway/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace wisteriashunt
 {
 
+namespace
+{
+
+/// Returns the number of an ID field, if the line is one.
+std::optional<std::int64_t> idOf(std::string_view line)
+{
+    constexpr std::string_view field = "id:";
+    if (!line.starts_with(field)) {
+        return std::nullopt;
+    }
+    line.remove_prefix(std::min(line.find_first_not_of(' ', field.size()), line.size()));
+    std::int64_t number = 0;
+    const auto parsed = std::from_chars(line.data(), line.data() + line.size(), number);
+    return parsed.ec == std::errc{} ? std::optional(number) : std::nullopt;
+}
+
+/// First and last ID among whole events.
+struct id_range
+{
+    std::optional<std::int64_t> first;
+    std::optional<std::int64_t> last;
+};
+
+id_range idsOf(std::string_view events)
+{
+    constexpr std::string_view lineEnds = "\r\n";
+    id_range ids;
+    while (!events.empty()) {
+        const auto end = std::min(events.find_first_of(lineEnds), events.size());
+        if (const auto id = idOf(events.substr(0, end))) {
+            ids.first = ids.first.value_or(*id);
+            ids.last = id;
+        }
+        events.remove_prefix(std::min(end + 1, events.size()));
+    }
+    return ids;
+}
+
+} // namespace
+
 std::string_view event_splitter::feed(std::string_view bytes)
 {
     m_buffer.erase(0, m_returnedBytes);
     m_returnedBytes = 0;
+    const std::size_t bufferedBytes = m_buffer.size();
     m_buffer.append(bytes);
-    constexpr std::string_view separator = "\n\n";
-    const auto end = m_buffer.rfind(separator);
-    if (end == std::string::npos) {
+    const std::size_t wholeBytes = m_boundary.feed(bytes);
+    if (wholeBytes == 0) {
         return {};
     }
-    m_returnedBytes = end + separator.size();
+    m_returnedBytes = bufferedBytes + wholeBytes;
     const std::string_view events(m_buffer.data(), m_returnedBytes);
-    if (m_resumedAfter && repeatsEvents(events)) {
+    const auto ids = idsOf(events);
+    if (ids.first && m_resumedAfter && *ids.first <= *m_resumedAfter) {
         m_isOutOfOrder = true;
         return {};
     }
-    m_resumedAfter.reset();
-    recordLastId(events);
+    if (ids.first) {
+        m_resumedAfter.reset();
+        m_lastEvent = ids.last;
+    }
     return events;
 }
 
-bool event_splitter::repeatsEvents(std::string_view events) const
-{
-    event_splitter firstOnly;
-    constexpr std::string_view separator = "\n\n";
-    firstOnly.recordLastId(events.substr(0, events.find(separator) + separator.size()));
-    return firstOnly.lastEvent() && *firstOnly.lastEvent() <= *m_resumedAfter;
-}
-
 bool event_splitter::isOutOfOrder() const
 {
     return m_isOutOfOrder;
 }
 
-void event_splitter::recordLastId(std::string_view events)
-{
-    constexpr std::string_view field = "id:";
-    // Searches from the end, because only the last ID is needed. A match within a line is data, not a field.
-    for (auto position = events.rfind(field); position != std::string_view::npos;
-         position = position == 0 ? std::string_view::npos : events.rfind(field, position - 1)) {
-        if (position != 0 && events[position - 1] != '\n') {
-            continue;
-        }
-        auto first = position + field.size();
-        while (first < events.size() && events[first] == ' ') {
-            ++first;
-        }
-        std::int64_t number = 0;
-        const auto parsed = std::from_chars(events.data() + first, events.data() + events.size(), number);
-        if (parsed.ec == std::errc{}) {
-            m_lastEvent = number;
-            return;
-        }
-    }
-}
-
 std::optional<std::int64_t> event_splitter::lastEvent() const
 {
     return m_lastEvent;
@@ -70,12 +84,13 @@
 {
     m_buffer.clear();
     m_returnedBytes = 0;
+    m_boundary = {};
     m_resumedAfter = m_lastEvent;
 }
 
 bool event_splitter::hasPartial() const
 {
-    return m_buffer.size() > m_returnedBytes;
+    return m_boundary.isInsideEvent();
 }
 
 } // namespace wisteriashunt
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -1,7 +1,10 @@
-/// Splits a stream of server-sent events into whole events, for streams that may resume at another endpoint. Used by wisteriashunt-entry;
-/// the endpoint process of wisteriashuntd uses daemon/sse_splitter.h, which counts events and checks their request ID.
+/// Splits a stream of server-sent events into whole events, so that callers never get a part of one, and a stream can resume at another
+/// endpoint. Used by wisteriashunt-entry; the endpoint process of wisteriashuntd uses daemon/sse_splitter.h, which counts events and checks
+/// their request ID.
 #pragma once
 
+#include "gateway/event_boundary.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -26,15 +29,13 @@
     /// Whether the first event after dropPartial() repeats an event that was returned before. None of those bytes are returned.
     [[nodiscard]] bool isOutOfOrder() const;
 
-    /// Whether an unfinished event is buffered.
+    /// Whether the bytes so far end within an event.
     [[nodiscard]] bool hasPartial() const;
 
 private:
-    void recordLastId(std::string_view events);
-    [[nodiscard]] bool repeatsEvents(std::string_view events) const;
-
     std::string m_buffer;
     std::size_t m_returnedBytes = 0;
+    event_boundary m_boundary;
     std::optional<std::int64_t> m_lastEvent;
     /// The first event of a resumed stream must have a larger ID than this.
     std::optional<std::int64_t> m_resumedAfter;
--- a/src/gateway/request_answers.cpp
+++ b/src/gateway/request_answers.cpp
@@ -118,8 +118,7 @@
     m_context.counters.count(event, routeName);
     m_context.counters.countLabelled("requests_total", "class", routeName, reason);
     if (event == event_number::request_answered) {
-        m_context.counters.countLabelled(
-            "answers_total", "framing", std::string(toString(m_head.framing)), m_boundary.isInsideEvent() ? "unfinished" : "whole");
+        m_context.counters.countLabelled("answers_total", "framing", std::string(toString(m_head.framing)), m_events.hasPartial() ? "unfinished" : "whole");
     }
     if (m_firstByteAfter > duration{}) {
         m_context.counters.observeSeconds("first_byte_seconds", routeName, toSeconds(m_firstByteAfter));
@@ -132,7 +131,7 @@
                          {"rank", std::to_string(m_rank)},
                          {"reason", reason},
                          {"framing", std::string(event == event_number::request_answered ? toString(m_head.framing) : "-")},
-                         {"last_event", m_boundary.isInsideEvent() ? "unfinished" : "whole"},
+                         {"last_event", m_events.hasPartial() ? "unfinished" : "whole"},
                          {"endpoint", m_placementRequest.excluded.empty() ? "-" : m_placementRequest.excluded.back()},
                          {"attempts", std::to_string(m_sentAttempts)},
                          {"first_ms", milliseconds(m_firstByteAfter)},
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -274,7 +274,6 @@
     m_head = {};
     m_response = {};
     m_body.clear();
-    m_boundary = {};
     ++m_sentAttempts;
     m_placementRequest.excluded.push_back(placed.endpoint->record.id);
     m_context.planner.onSent(m_placementRequest, placed, m_sentAt);
@@ -344,6 +343,24 @@
     return m_route->kind == repeatability::stream && isSuccess(m_head.status);
 }
 
+bool request_session::isEventStream() const
+{
+    const auto *type = findHeader(m_head.headers, "content-type");
+    return isStreamSuccess() && (type == nullptr || type->starts_with("text/event-stream"));
+}
+
+std::optional<std::string> request_session::breakOfCompleteAnswer() const
+{
+    if (isEventStream() && m_events.hasPartial()) {
+        return "unfinished_event";
+    }
+    // An endpoint that fails before the first event closes the connection like one that has written its last event.
+    if (isStreamSuccess() && m_head.framing == body_framing::connection_end && !m_hasFirstByte) {
+        return "no_event";
+    }
+    return std::nullopt;
+}
+
 void request_session::onBody(std::string_view bytes)
 {
     if (!m_hasFirstByte && !m_response.didNotRun) {
@@ -353,8 +370,7 @@
     if (!isStreamSuccess()) {
         m_body.append(bytes);
     } else if (m_caller != nullptr) {
-        m_boundary.feed(bytes);
-        forwardEvents(m_route->isResumable ? m_events.feed(bytes) : bytes);
+        forwardEvents(isEventStream() ? m_events.feed(bytes) : bytes);
         if (m_events.isOutOfOrder()) {
             dropAttempt();
             cut("resumed_out_of_order");
@@ -383,6 +399,10 @@
 
 void request_session::onComplete()
 {
+    if (const auto reason = breakOfCompleteAnswer()) {
+        onBroken(*reason, toString(m_head.framing));
+        return;
+    }
     const bool didNotRun = m_response.didNotRun;
     const bool isServerError = m_head.status >= firstServerError;
     m_mayHaveRun = m_mayHaveRun || !didNotRun;
@@ -392,10 +412,6 @@
         return;
     }
     if (isStreamSuccess()) {
-        if (m_events.hasPartial() && m_route->isResumable) {
-            onAttemptEnded(attempt_outcome::broken);
-            return;
-        }
         if (!m_hasForwarded) {
             std::string head;
             appendResponseHead(head, m_head.status, m_head.reason, endToEndHeaders(m_head.headers));
@@ -409,16 +425,33 @@
     onAttemptEnded(didNotRun ? attempt_outcome::did_not_run : isServerError ? attempt_outcome::server_error : attempt_outcome::answered);
 }
 
-void request_session::onFailure(exchange_failure failure, close_reason end)
+void request_session::logAttemptEnd(std::string_view reason, std::string_view end)
 {
-    const bool wasSent = failure != exchange_failure::never_sent;
-    const bool isUnreachable = !wasSent || end == close_reason::timed_out;
     m_context.log.write(event_number::attempt_ended,
                         {{"request", m_metadata.attemptId},
                          {"endpoint", m_placed->endpoint->record.id},
-                         {"reason", std::string(toString(failure))},
-                         {"connection", std::string(toString(end))},
+                         {"reason", std::string(reason)},
+                         {"connection", std::string(end)},
                          {"ms", milliseconds(m_context.loop.now() - m_sentAt)}});
+}
+
+void request_session::onBroken(std::string_view reason, std::string_view end)
+{
+    logAttemptEnd(reason, end);
+    m_mayHaveRun = true;
+    releaseEndpoint(endpoint_outcome::broken);
+    if (m_caller == nullptr) {
+        finish(event_number::request_cut, "caller_left");
+        return;
+    }
+    onAttemptEnded(attempt_outcome::broken);
+}
+
+void request_session::onFailure(exchange_failure failure, close_reason end)
+{
+    const bool wasSent = failure != exchange_failure::never_sent;
+    const bool isUnreachable = !wasSent || end == close_reason::timed_out;
+    logAttemptEnd(toString(failure), toString(end));
     if (wasSent) {
         m_mayHaveRun = true;
     } else {
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -3,7 +3,6 @@
 
 #include "dispatch/attempt_policy.h"
 #include "dispatch/placement.h"
-#include "gateway/event_boundary.h"
 #include "gateway/event_splitter.h"
 #include "gateway/gateway_context.h"
 #include "http/caller_connection.h"
@@ -56,6 +55,9 @@
     void onBody(std::string_view bytes);
     void onComplete();
     void onFailure(exchange_failure failure, close_reason end);
+    /// Ends an attempt whose answer was framed as complete and is not.
+    void onBroken(std::string_view reason, std::string_view end);
+    void logAttemptEnd(std::string_view reason, std::string_view end);
     void onTimeout();
 
     void forwardEvents(std::string_view bytes);
@@ -75,6 +77,10 @@
     [[nodiscard]] attempt_state state() const;
     [[nodiscard]] duration timeLeft() const;
     [[nodiscard]] bool isStreamSuccess() const;
+    /// Whether the answer is a stream of server-sent events.
+    [[nodiscard]] bool isEventStream() const;
+    /// Returns why the answer of the attempt is not whole although its framing says that it is; nullopt if it is whole.
+    [[nodiscard]] std::optional<std::string> breakOfCompleteAnswer() const;
     /// Returns the value for placement_request::maxFirstByteWait.
     [[nodiscard]] duration maxFirstByteWait() const;
 
@@ -118,8 +124,6 @@
     response_metadata m_response;
     std::string m_body;
     event_splitter m_events;
-    /// Where the answer of the current attempt stands between its events.
-    event_boundary m_boundary;
     /// Resumable streams: where the first event was written, once it has been.
     std::optional<stream_origin> m_origin;
     std::optional<std::int64_t> m_resumeAfter;
