Do not resume a stream after an event without an ID

Callers would see an event twice: a resumable stream whose last forwarded event has no ID was sent again after the last event with one, or from its beginning.

Events with CRLF resume as those with LF do (test added; it passed before this change).

--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -22,24 +22,38 @@
     return parsed.ec == std::errc{} ? std::optional(number) : std::nullopt;
 }
 
-/// First and last ID among whole events.
-struct id_range
+/// IDs of whole events.
+struct event_ids
 {
     std::optional<std::int64_t> first;
     std::optional<std::int64_t> last;
+    /// Whether an event without an ID follows the one that has the last ID, or all events have none.
+    bool endsWithoutId = false;
 };
 
-id_range idsOf(std::string_view events)
+event_ids idsOf(std::string_view events)
 {
     constexpr std::string_view lineEnds = "\r\n";
-    id_range ids;
+    constexpr char commentMark = ':';
+    event_ids ids;
+    bool hasEventLine = false;
+    bool hasId = false;
     while (!events.empty()) {
         const auto end = std::min(events.find_first_of(lineEnds), events.size());
-        if (const auto id = idOf(events.substr(0, end))) {
+        const auto line = events.substr(0, end);
+        if (const auto id = idOf(line)) {
             ids.first = ids.first.value_or(*id);
             ids.last = id;
+            hasId = true;
         }
-        events.remove_prefix(std::min(end + 1, events.size()));
+        hasEventLine = hasEventLine || (!line.empty() && line.front() != commentMark);
+        const bool isCrLf = events.substr(end, lineEnds.size()) == lineEnds;
+        if (line.empty() && hasEventLine) {
+            ids.endsWithoutId = !hasId;
+            hasEventLine = false;
+            hasId = false;
+        }
+        events.remove_prefix(std::min(end + (isCrLf ? lineEnds.size() : 1), events.size()));
     }
     return ids;
 }
@@ -67,6 +81,7 @@
         m_resumedAfter.reset();
         m_lastEvent = ids.last;
     }
+    m_canResume = ids.endsWithoutId ? false : m_canResume || ids.first.has_value();
     return events;
 }
 
@@ -80,6 +95,11 @@
     return m_lastEvent;
 }
 
+bool event_splitter::canResume() const
+{
+    return m_canResume;
+}
+
 void event_splitter::dropPartial()
 {
     m_buffer.clear();
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -23,6 +23,9 @@
     /// ID of the last whole event, if any had a numeric ID.
     [[nodiscard]] std::optional<std::int64_t> lastEvent() const;
 
+    /// Whether a stream that resumes after lastEvent() repeats none of the returned events: the last of them has that ID, or there is none.
+    [[nodiscard]] bool canResume() const;
+
     /// Discards the unfinished event. The next bytes come from another endpoint, which must resume after the last whole event.
     void dropPartial();
 
@@ -40,6 +43,7 @@
     /// The first event of a resumed stream must have a larger ID than this.
     std::optional<std::int64_t> m_resumedAfter;
     bool m_isOutOfOrder = false;
+    bool m_canResume = true;
 };
 
 } // namespace wisteriashunt
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -469,7 +469,7 @@
 attempt_state request_session::state() const
 {
     return {.kind = m_route->kind,
-            .isResumable = m_route->isResumable,
+            .isResumable = m_route->isResumable && m_events.canResume(),
             .maxAttempts = m_route->maxAttempts,
             .sentAttempts = m_sentAttempts,
             .failedConnects = m_failedConnects,
--- a/test/broken_answer_test.cpp
+++ b/test/broken_answer_test.cpp
@@ -299,5 +299,31 @@
                                             ::testing::Values(framing::length, framing::chunks, framing::connection_end, framing::connection_end_http10)),
                          [](const auto &tested) { return routeName(std::get<0>(tested.param)) + nameOf(std::get<1>(tested.param)); });
 
+TEST_F(broken_answer_test, EventsWithCrLfAreResumedAfterTheLastWholeOne)
+{
+    const std::string first = "id: 1\r\ndata: a\r\n\r\n";
+    const std::string second = "id: 2\r\ndata: b\r\n\r\n";
+    const auto handle = [=](const received_request &got) {
+        const auto *after = findHeader(got.headers, "last-event-id");
+        return after == nullptr ? scripted_response{.parts = {okHead(got) + "\r\n" + first + "id: 2\r\nda"}, .closes = true}
+                                : scripted_response{.parts = {okHead(got) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(second) + std::string(lastChunk)}};
+    };
+    start(handle, handle);
+    const auto view = viewOf(callOnce(request("/draft/")));
+    EXPECT_TRUE(view.isComplete);
+    EXPECT_EQ(view.body, first + second);
+}
+
+TEST_F(broken_answer_test, AStreamIsNotResumedAfterAnEventWithoutId)
+{
+    const auto handle = [](const received_request &got) {
+        return scripted_response{.parts = {okHead(got) + "Transfer-Encoding: chunked\r\n\r\n" + chunk("data: a\n\n")}, .closes = true};
+    };
+    start(handle, handle);
+    const auto view = viewOf(callOnce(request("/draft/")));
+    EXPECT_FALSE(view.isComplete);
+    EXPECT_EQ(view.body, "data: a\n\n") << "the event must not come twice";
+}
+
 } // namespace
 } // namespace wisteriashunt::testing
