Send all of an answer before its connection closes

Callers saw: a complete answer that did not fit into the socket's buffer was cut when the caller had asked for the connection to be closed (3.9 of 8 MB arrived), and whole events that had arrived together with a stream's break were lost.

Cause: closeAfterFlush() only marked the channel, whose owner then released it, so that what the kernel had not taken was discarded; abort() discarded it always.

broken_answer_test.ACompleteAnswerReachesASlowCaller... and AStreamThatEndsWithinAnEventIsBrokenOff... failed before and pass. Now a closing channel owns itself until its bytes are sent, for 10 s without progress at most, and reports its end only then, so that an entry that leaves waits for it.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -162,8 +162,6 @@
     onDrained = [] {};
     if (m_closesAfterAnswer) {
         m_channel->closeAfterFlush();
-        const auto self = shared_from_this();
-        m_hooks->onClosed(*this);
         return;
     }
     if (m_channel->isOpen()) {
@@ -174,10 +172,9 @@
 
 void caller_connection::abort()
 {
-    const auto self = shared_from_this();
     m_isAnswering = false;
-    m_channel->close();
-    m_hooks->onClosed(*this);
+    m_closesAfterAnswer = true;
+    m_channel->closeAfterFlush();
 }
 
 void caller_connection::closeWhenIdle()
@@ -186,10 +183,8 @@
         m_closesAfterAnswer = true;
         return;
     }
-    const auto self = shared_from_this();
     m_closesAfterAnswer = true;
     m_channel->closeAfterFlush();
-    m_hooks->onClosed(*this);
 }
 
 bool caller_connection::isIdle() const
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -56,7 +56,7 @@
     /// Completes a chunked response.
     void endStream();
 
-    /// Closes the connection at once, so that the caller sees an incomplete response.
+    /// Closes the connection once what was written is sent, so that the caller sees an incomplete response.
     void abort();
 
     /// Closes the connection after the current response, or once pending bytes are sent if no request is being answered.
--- a/src/net/byte_channel.cpp
+++ b/src/net/byte_channel.cpp
@@ -12,6 +12,7 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace wisteriashunt
 {
@@ -25,6 +26,9 @@
 /// Connections that may wait to be accepted. Covers a burst of a few hundred callers.
 constexpr int listenBacklog = 1024;
 
+/// Time without progress after which bytes that are pending when the channel closes are discarded.
+constexpr std::chrono::seconds flushTimeout{10};
+
 /// Time for the peer to receive the last bytes and close. Covers a few round trips between regions.
 constexpr std::chrono::milliseconds lingerTimeout{500};
 
@@ -86,6 +90,8 @@
         return "timed_out";
     case close_reason::never_connected:
         return "never_connected";
+    case close_reason::closed_here:
+        return "closed_here";
     }
     return "unknown";
 }
@@ -169,6 +175,8 @@
 {
     m_closesAfterFlush = true;
     if (m_descriptor >= 0) {
+        m_closing = shared_from_this();
+        closeWithin(flushTimeout);
         markDirty();
     }
 }
@@ -185,7 +193,17 @@
     if (const auto self = weak_from_this().lock()) {
         m_loop.retire(self);
     }
-    m_lingering.reset();
+    m_closing.reset();
+}
+
+void byte_channel::closeWithin(duration timeout)
+{
+    m_loop.cancel(m_timer);
+    m_timer = m_loop.schedule(m_loop.now() + timeout, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->closeAndNotify(close_reason::timed_out);
+        }
+    });
 }
 
 void byte_channel::setReading(bool isReading)
@@ -308,6 +326,9 @@
             return;
         }
         m_sent += static_cast<std::size_t>(count);
+        if (m_closesAfterFlush) {
+            closeWithin(flushTimeout);
+        }
     }
     m_outgoing.clear();
     m_sent = 0;
@@ -324,15 +345,10 @@
     // Closing while the peer is still sending would reset the connection, and the peer could lose bytes that it has not read yet.
     shutdown(m_descriptor, SHUT_WR);
     m_hooks.onBytes = [](std::string_view) {};
-    m_hooks.onClosed = [](close_reason) {};
     setReading(true);
-    m_timer = m_loop.schedule(m_loop.now() + lingerTimeout, [weak = weak_from_this()] {
-        if (const auto self = weak.lock()) {
-            self->close();
-        }
-    });
-    m_loop.retire(shared_from_this());
-    m_lingering = shared_from_this();
+    closeWithin(lingerTimeout);
+    const auto onClosed = std::exchange(m_hooks.onClosed, [](close_reason) {});
+    onClosed(close_reason::closed_here);
 }
 
 void byte_channel::closeAndNotify(close_reason reason)
--- a/src/net/byte_channel.h
+++ b/src/net/byte_channel.h
@@ -36,6 +36,8 @@
     reset,
     timed_out,
     never_connected,
+    /// closeAfterFlush() has sent all bytes.
+    closed_here,
 };
 
 [[nodiscard]] std::string_view toString(close_reason reason);
@@ -79,7 +81,7 @@
     /// Queues bytes for sending at the end of the wake-up. Ignored once the channel is closed or closing.
     void write(std::string_view bytes);
 
-    /// Closes the channel once all written bytes have been passed to the kernel. onBytes and onClosed are not called after that.
+    /// Closes the channel once all written bytes have been passed to the kernel, and then calls onClosed. onBytes is not called after that.
     void closeAfterFlush();
 
     /// Closes immediately and discards unsent bytes. No hook is called.
@@ -105,6 +107,8 @@
     void readAvailable();
     void closeAndNotify(close_reason reason);
     void linger();
+    /// Closes the channel when the time is over; replaces the time that was set before.
+    void closeWithin(duration timeout);
     void markDirty();
 
     event_loop &m_loop;
@@ -114,14 +118,14 @@
     std::string m_outgoing;
     std::size_t m_sent = 0;
     std::uint32_t m_interest = 0;
-    /// Connect timeout; after closeAfterFlush() the linger timeout.
+    /// Connect timeout; after closeAfterFlush() the time until the channel closes at the latest.
     timer_id m_timer = 0;
     bool m_isConnecting = false;
     bool m_isReading = true;
     bool m_isDirty = false;
     bool m_closesAfterFlush = false;
-    /// Keeps the channel alive after its last write until the peer closes or the linger timeout expires.
-    std::shared_ptr<byte_channel> m_lingering;
+    /// Keeps the channel alive after closeAfterFlush() until its bytes are sent and the peer closes, or the time for that is over.
+    std::shared_ptr<byte_channel> m_closing;
 };
 
 /// Accepts connections on an address.
--- a/test/broken_answer_test.cpp
+++ b/test/broken_answer_test.cpp
@@ -299,6 +299,17 @@
                                             ::testing::Values(framing::length, framing::chunks, framing::connection_end, framing::connection_end_http10)),
                          [](const auto &tested) { return routeName(std::get<0>(tested.param)) + nameOf(std::get<1>(tested.param)); });
 
+TEST_F(broken_answer_test, AStreamThatEndsWithinAnEventIsBrokenOffWhateverItsFraming)
+{
+    start([](const received_request &got) {
+        const std::string body = firstEvent + "id: 2\nda";
+        return scripted_response{.parts = {okHead(got) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + std::string(lastChunk)}};
+    });
+    const auto view = viewOf(callOnce(request("/talk/")));
+    EXPECT_FALSE(view.isComplete);
+    EXPECT_EQ(view.body, firstEvent);
+}
+
 TEST_F(broken_answer_test, EventsWithCrLfAreResumedAfterTheLastWholeOne)
 {
     const std::string first = "id: 1\r\ndata: a\r\n\r\n";
@@ -325,5 +336,20 @@
     EXPECT_EQ(view.body, "data: a\n\n") << "the event must not come twice";
 }
 
+TEST_F(broken_answer_test, ACompleteAnswerReachesASlowCallerThatWantsTheConnectionClosed)
+{
+    const std::string body(8'000'000, 'x');
+    start([&](const received_request &got) { return ok(got, body); });
+    raw_caller caller(m_ports.callers);
+    const std::string host = "Host: h.example\r\n";
+    auto bytes = request("/read/");
+    bytes.insert(bytes.find(host) + host.size(), "Connection: close\r\n");
+    caller.send(bytes);
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    const auto view = viewOf(caller.readAll());
+    EXPECT_TRUE(view.isComplete);
+    EXPECT_EQ(view.body.size(), body.size());
+}
+
 } // namespace
 } // namespace wisteriashunt::testing
