Read all bytes of an answer before the end of its connection

Callers would see a short answer framed as complete: while an entry pauses reading for a slow caller, the close of the endpoint's connection was reported at once, the bytes before it were lost, and an answer without length counted as complete. An answer with a length counted as broken although all of it had arrived.

byte_channel_test.DeliversAllBytesBeforeTheCloseThatCameWhileReadingWasPaused failed before and passes. Connections of callers report their end at once, as before, since nothing is read from a caller that is gone. A reset while reading is paused no longer wakes the loop again and again.

--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -76,10 +76,12 @@
             }
         };
     };
+    auto channelOptions = options;
+    channelOptions.deliversAllBytes = true;
     m_channel =
         byte_channel::connect(m_loop,
                               peer,
-                              options,
+                              channelOptions,
                               {.onConnected = guarded([](upstream_connection &self) { self.m_channel->write(std::exchange(self.m_unsentRequest, {})); }),
                                .onBytes = guarded([](upstream_connection &self, std::string_view bytes) { self.onBytes(bytes); }),
                                .onClosed = guarded([](upstream_connection &self, close_reason reason) { self.onClosed(reason); })});
--- a/src/net/byte_channel.cpp
+++ b/src/net/byte_channel.cpp
@@ -190,6 +190,7 @@
     m_loop.unwatch(m_descriptor);
     ::close(m_descriptor);
     m_descriptor = -1;
+    m_isEndUnread = false;
     if (const auto self = weak_from_this().lock()) {
         m_loop.retire(self);
     }
@@ -209,6 +210,11 @@
 void byte_channel::setReading(bool isReading)
 {
     m_isReading = isReading;
+    if (m_isReading && std::exchange(m_isEndUnread, false)) {
+        m_interest = EPOLLIN | EPOLLRDHUP;
+        m_loop.watch(m_descriptor, m_interest, this);
+        return;
+    }
     updateInterest();
 }
 
@@ -229,7 +235,7 @@
 
 void byte_channel::updateInterest()
 {
-    if (m_descriptor < 0 || m_isConnecting) {
+    if (m_descriptor < 0 || m_isConnecting || m_isEndUnread) {
         return;
     }
     const std::uint32_t interest = EPOLLRDHUP | (m_isReading ? EPOLLIN : 0U) | (pendingBytes() > 0 ? EPOLLOUT : 0U);
@@ -271,11 +277,26 @@
     if ((events & EPOLLOUT) != 0) {
         flush();
     }
-    if (m_descriptor >= 0 && (events & (EPOLLIN | EPOLLERR | EPOLLHUP)) != 0 && (m_isReading || (events & EPOLLERR) != 0)) {
+    if (m_descriptor < 0) {
+        return;
+    }
+    constexpr std::uint32_t endEvents = EPOLLRDHUP | EPOLLHUP | EPOLLERR;
+    if (m_isReading && (events & (EPOLLIN | endEvents)) != 0) {
         readAvailable();
-    } else if (m_descriptor >= 0 && (events & (EPOLLRDHUP | EPOLLHUP)) != 0) {
+    } else if ((events & endEvents) != 0) {
+        onEndWhilePaused();
+    }
+}
+
+void byte_channel::onEndWhilePaused()
+{
+    if (!m_options.deliversAllBytes) {
         closeAndNotify(close_reason::closed_by_peer);
+        return;
     }
+    // The events would be reported again and again until the bytes are read.
+    m_isEndUnread = true;
+    m_loop.unwatch(m_descriptor);
 }
 
 void byte_channel::readAvailable()
--- a/src/net/byte_channel.h
+++ b/src/net/byte_channel.h
@@ -61,6 +61,9 @@
     std::chrono::milliseconds peerTimeout{0};
     /// Time for the three-way handshake.
     std::chrono::milliseconds connectTimeout{0};
+    /// Whether an end of the connection that comes while reading is paused is reported only after the bytes before it have been read. Otherwise
+    /// it is reported at once, and these bytes are lost.
+    bool deliversAllBytes = false;
 };
 
 /// One TCP connection. Owned by shared_ptr so that it stays alive until the end of the wake-up that closes it.
@@ -87,7 +90,7 @@
     /// Closes immediately and discards unsent bytes. No hook is called.
     void close();
 
-    /// Pauses or resumes reading. The end of the connection is detected even while reading is paused.
+    /// Pauses or resumes reading. See channel_options::deliversAllBytes for an end of the connection while reading is paused.
     void setReading(bool isReading);
 
     [[nodiscard]] bool isOpen() const;
@@ -105,6 +108,7 @@
     void updateInterest();
     void finishConnecting();
     void readAvailable();
+    void onEndWhilePaused();
     void closeAndNotify(close_reason reason);
     void linger();
     /// Closes the channel when the time is over; replaces the time that was set before.
@@ -122,6 +126,8 @@
     timer_id m_timer = 0;
     bool m_isConnecting = false;
     bool m_isReading = true;
+    /// Whether the connection has ended while reading was paused, so that the descriptor is not watched.
+    bool m_isEndUnread = false;
     bool m_isDirty = false;
     bool m_closesAfterFlush = false;
     /// Keeps the channel alive after closeAfterFlush() until its bytes are sent and the peer closes, or the time for that is over.
--- /dev/null
+++ b/test/byte_channel_test.cpp
@@ -0,0 +1,123 @@
+// Tests how channels report the end of their connection.
+#include "net/byte_channel.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <optional>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace wisteriashunt
+{
+namespace
+{
+
+/// A channel and the peer's end of its connection.
+class byte_channel_test : public ::testing::Test
+{
+protected:
+    byte_channel_test()
+    {
+        const int listener = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        bind(listener, reinterpret_cast<const sockaddr *>(&address), sizeof address);
+        listen(listener, 1);
+        getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size);
+        m_peer = socket(AF_INET, SOCK_STREAM, 0);
+        ::connect(m_peer, reinterpret_cast<const sockaddr *>(&address), sizeof address);
+        m_channel = byte_channel::adopt(
+            m_loop,
+            accept4(listener, nullptr, nullptr, SOCK_NONBLOCK),
+            {.deliversAllBytes = true},
+            {.onBytes = [this](std::string_view bytes) { m_received.append(bytes); }, .onClosed = [this](close_reason reason) { m_closed = reason; }});
+        ::close(listener);
+    }
+
+    ~byte_channel_test() override
+    {
+        closePeer();
+    }
+
+    void closePeer()
+    {
+        if (m_peer >= 0) {
+            ::close(m_peer);
+            m_peer = -1;
+        }
+    }
+
+    void resetPeer()
+    {
+        const linger resetOnClose{.l_onoff = 1, .l_linger = 0};
+        setsockopt(m_peer, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof resetOnClose);
+        closePeer();
+    }
+
+    /// Sends bytes from the peer.
+    void sendFromPeer(const std::string &bytes) const
+    {
+        EXPECT_EQ(::send(m_peer, bytes.data(), bytes.size(), 0), static_cast<ssize_t>(bytes.size()));
+    }
+
+    /// Runs the loop for the time.
+    void runFor(std::chrono::milliseconds time)
+    {
+        const auto stop = m_loop.schedule(m_clock.now() + time, [this] { m_loop.stop(); });
+        static_cast<void>(stop);
+        m_loop.run();
+    }
+
+    boot_clock m_clock;
+    event_loop m_loop{m_clock};
+    int m_peer = -1;
+    std::shared_ptr<byte_channel> m_channel;
+    std::string m_received;
+    std::optional<close_reason> m_closed;
+};
+
+constexpr std::chrono::milliseconds settleTime{50};
+
+TEST_F(byte_channel_test, ReportsAnOrderlyCloseAfterAllBytes)
+{
+    sendFromPeer("bytes");
+    closePeer();
+    runFor(settleTime);
+    EXPECT_EQ(m_received, "bytes");
+    ASSERT_TRUE(m_closed.has_value());
+    EXPECT_EQ(toString(*m_closed), "closed_by_peer");
+}
+
+TEST_F(byte_channel_test, DeliversAllBytesBeforeTheCloseThatCameWhileReadingWasPaused)
+{
+    m_channel->setReading(false);
+    sendFromPeer("bytes");
+    closePeer();
+    runFor(settleTime);
+    EXPECT_FALSE(m_closed.has_value()) << "bytes are still unread";
+    m_channel->setReading(true);
+    runFor(settleTime);
+    EXPECT_EQ(m_received, "bytes");
+    ASSERT_TRUE(m_closed.has_value());
+    EXPECT_EQ(toString(*m_closed), "closed_by_peer");
+}
+
+TEST_F(byte_channel_test, ReportsAResetThatCameWhileReadingWasPaused)
+{
+    m_channel->setReading(false);
+    sendFromPeer("bytes");
+    resetPeer();
+    runFor(settleTime);
+    m_channel->setReading(true);
+    runFor(settleTime);
+    ASSERT_TRUE(m_closed.has_value());
+    EXPECT_EQ(toString(*m_closed), "reset");
+}
+
+} // namespace
+} // namespace wisteriashunt
