Report a reset that a send has noticed as a reset

Callers would see a short answer framed as complete: the send that meets a reset takes its error, after which the kernel reports an orderly end to the reader, and an answer without length counted as complete. It takes a request that is still being sent when its endpoint answers early.

byte_channel_test.ReportsAResetThatASendHasNoticed failed before ('closed_by_peer') and passes.

--- a/src/net/byte_channel.cpp
+++ b/src/net/byte_channel.cpp
@@ -311,7 +311,8 @@
                 return;
             }
         } else if (count == 0) {
-            closeAndNotify(close_reason::closed_by_peer);
+            // A send takes the error of a reset with it, after which the kernel reports an orderly end.
+            closeAndNotify(m_sendFailure.value_or(close_reason::closed_by_peer));
         } else if (errno == EAGAIN || errno == EINTR) {
             return;
         } else {
@@ -335,14 +336,14 @@
                 return;
             }
             // Bytes that the peer sent before it closed may still be readable.
-            const int error = errno;
+            m_sendFailure = closeReasonOf(errno);
             if (m_isReading && !m_closesAfterFlush) {
                 m_outgoing.clear();
                 m_sent = 0;
                 readAvailable();
             }
             if (m_descriptor >= 0) {
-                closeAndNotify(closeReasonOf(error));
+                closeAndNotify(*m_sendFailure);
             }
             return;
         }
--- a/src/net/byte_channel.h
+++ b/src/net/byte_channel.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <netinet/in.h>
 #include <string>
 #include <string_view>
@@ -128,6 +129,8 @@
     bool m_isReading = true;
     /// Whether the connection has ended while reading was paused, so that the descriptor is not watched.
     bool m_isEndUnread = false;
+    /// Why a send has failed, if one has.
+    std::optional<close_reason> m_sendFailure;
     bool m_isDirty = false;
     bool m_closesAfterFlush = false;
     /// Keeps the channel alive after closeAfterFlush() until its bytes are sent and the peer closes, or the time for that is over.
--- a/test/byte_channel_test.cpp
+++ b/test/byte_channel_test.cpp
@@ -93,6 +93,16 @@
     EXPECT_EQ(toString(*m_closed), "closed_by_peer");
 }
 
+TEST_F(byte_channel_test, ReportsAResetThatASendHasNoticed)
+{
+    resetPeer();
+    std::this_thread::sleep_for(settleTime);
+    m_channel->write("request");
+    m_channel->flush();
+    ASSERT_TRUE(m_closed.has_value());
+    EXPECT_EQ(toString(*m_closed), "reset");
+}
+
 TEST_F(byte_channel_test, DeliversAllBytesBeforeTheCloseThatCameWhileReadingWasPaused)
 {
     m_channel->setReading(false);
