Send streams to HTTP/1.0 callers without chunks, and reset them when broken off

Callers of HTTP/1.0 saw the sizes of chunks within the stream, which that version does not know, and took the close of the connection for the end of the answer.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -135,7 +135,12 @@
 
 void caller_connection::beginStream(std::string head)
 {
-    appendHeader(head, "Transfer-Encoding", "chunked");
+    if (m_isHttp10) {
+        m_endsWithConnection = true;
+        m_closesAfterAnswer = true;
+    } else {
+        appendHeader(head, "Transfer-Encoding", "chunked");
+    }
     appendConnectionHeader(head);
     head.append("\r\n");
     m_channel->write(head);
@@ -143,6 +148,10 @@
 
 void caller_connection::writeChunk(std::string_view bytes)
 {
+    if (m_endsWithConnection) {
+        m_channel->write(bytes);
+        return;
+    }
     std::string chunk;
     chunk.reserve(bytes.size() + 16);
     appendChunk(chunk, bytes);
@@ -151,7 +160,9 @@
 
 void caller_connection::endStream()
 {
-    m_channel->write(lastChunk);
+    if (!m_endsWithConnection) {
+        m_channel->write(lastChunk);
+    }
     finishAnswer();
 }
 
@@ -174,7 +185,13 @@
 {
     m_isAnswering = false;
     m_closesAfterAnswer = true;
-    m_channel->closeAfterFlush();
+    if (!m_endsWithConnection) {
+        m_channel->closeAfterFlush();
+        return;
+    }
+    const auto self = shared_from_this();
+    m_channel->reset();
+    m_hooks->onClosed(*this);
 }
 
 void caller_connection::closeWhenIdle()
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -49,14 +49,15 @@
     /// Writes a complete response. `head` is the status line and fields without the empty line that ends them; framing fields are appended.
     void answer(std::string head, std::string_view body);
 
-    /// Begins a chunked response; `head` as in answer().
+    /// Begins a response in parts: chunked, or for HTTP/1.0, which has no chunks, up to the end of the connection; `head` as in answer().
     void beginStream(std::string head);
-    /// Writes one chunk of the response body; empty data is skipped.
+    /// Writes one part of the response body; empty data is skipped.
     void writeChunk(std::string_view bytes);
-    /// Completes a chunked response.
+    /// Completes a response in parts.
     void endStream();
 
-    /// Closes the connection once what was written is sent, so that the caller sees an incomplete response.
+    /// Closes the connection so that the caller sees an incomplete response: once what was written is sent, or by a reset if the end of the
+    /// connection would complete the response.
     void abort();
 
     /// Closes the connection after the current response, or once pending bytes are sent if no request is being answered.
@@ -93,6 +94,8 @@
     bool m_closesAfterAnswer = false;
     bool m_isReadingRequests = false;
     bool m_isHttp10 = false;
+    /// The response in parts extends to the end of the connection.
+    bool m_endsWithConnection = false;
 };
 
 /// The open connections of one listener.
--- a/src/net/byte_channel.cpp
+++ b/src/net/byte_channel.cpp
@@ -197,6 +197,18 @@
     m_closing.reset();
 }
 
+void byte_channel::reset()
+{
+    if (m_descriptor >= 0) {
+        const struct linger resetOnClose
+        {
+            .l_onoff = 1, .l_linger = 0
+        };
+        setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof resetOnClose);
+    }
+    close();
+}
+
 void byte_channel::closeWithin(duration timeout)
 {
     m_loop.cancel(m_timer);
--- a/src/net/byte_channel.h
+++ b/src/net/byte_channel.h
@@ -91,6 +91,9 @@
     /// Closes immediately and discards unsent bytes. No hook is called.
     void close();
 
+    /// Like close(), but the peer sees a reset.
+    void reset();
+
     /// Pauses or resumes reading. See channel_options::deliversAllBytes for an end of the connection while reading is paused.
     void setReading(bool isReading);
 
--- a/test/broken_answer_test.cpp
+++ b/test/broken_answer_test.cpp
@@ -336,6 +336,36 @@
     EXPECT_EQ(view.body, "data: a\n\n") << "the event must not come twice";
 }
 
+/// A request of a caller that speaks HTTP/1.0 and knows no chunks.
+std::string http10Request(const std::string &path)
+{
+    return "POST " + path + " HTTP/1.0\r\nHost: h.example\r\nX-Attempt-Id: a1\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n";
+}
+
+TEST_F(broken_answer_test, AnHttp10CallerGetsAStreamWithoutChunks)
+{
+    start([](const received_request &got) {
+        return scripted_response{.parts = {okHead(got) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(wholeStream) + std::string(lastChunk)}};
+    });
+    raw_caller caller(m_ports.callers);
+    caller.send(http10Request("/talk/"));
+    const auto reply = caller.readAll();
+    EXPECT_TRUE(reply.ends_with("\r\n\r\n" + wholeStream)) << reply;
+    EXPECT_EQ(reply.find("chunked"), std::string::npos) << reply;
+    EXPECT_FALSE(caller.wasReset());
+}
+
+TEST_F(broken_answer_test, AnHttp10CallerSeesAResetWhenAStreamIsBrokenOff)
+{
+    start([](const received_request &got) {
+        return scripted_response{.parts = {okHead(got) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(firstEvent)}, .closes = true};
+    });
+    raw_caller caller(m_ports.callers);
+    caller.send(http10Request("/talk/"));
+    static_cast<void>(caller.readAll());
+    EXPECT_TRUE(caller.wasReset()) << "an orderly close would end the answer";
+}
+
 TEST_F(broken_answer_test, ACompleteAnswerReachesASlowCallerThatWantsTheConnectionClosed)
 {
     const std::string body(8'000'000, 'x');
--- a/test/loopback_server.cpp
+++ b/test/loopback_server.cpp
@@ -239,6 +239,7 @@
     if (count > 0) {
         m_read.append(buffer.data(), static_cast<std::size_t>(count));
     }
+    m_wasReset = count < 0;
     return count > 0;
 }
 
--- a/test/loopback_server.h
+++ b/test/loopback_server.h
@@ -81,12 +81,19 @@
     std::string readResponse();
     void close();
 
+    /// Whether a read found that the connection was reset.
+    [[nodiscard]] bool wasReset() const
+    {
+        return m_wasReset;
+    }
+
 private:
     /// Returns false if the connection has closed.
     bool readMore();
 
     int m_descriptor;
     std::string m_read;
+    bool m_wasReset = false;
 };
 
 /// Opens a listener on a free loopback port and returns its descriptor. Throws std::runtime_error on failure.
