Log crashes of endpoints with the prompt parts that they had not begun to answer

An entry now opens one connection to an endpoint that broke an unbegun attempt, and logs endpoint_crashed if it is not accepted.

Where requests go is as before; the connection is pooled if the endpoint is alive.

--- a/src/evidence/decision.cpp
+++ b/src/evidence/decision.cpp
@@ -62,6 +62,8 @@
         return "rate_limit_changed";
     case event_number::rate_limit_unusable:
         return "rate_limit_unusable";
+    case event_number::endpoint_crashed:
+        return "endpoint_crashed";
     case event_number::peer_up:
         return "peer_up";
     case event_number::peer_down:
--- a/src/evidence/decision.h
+++ b/src/evidence/decision.h
@@ -40,6 +40,7 @@
     record_unusable = 306,
     rate_limit_changed = 307,
     rate_limit_unusable = 308,
+    endpoint_crashed = 309,
     peer_up = 401,
     peer_down = 402,
     peer_refused = 403,
--- /dev/null
+++ b/src/gateway/endpoint_crash_watch.cpp
@@ -0,0 +1,89 @@
+#include "gateway/endpoint_crash_watch.h"
+
+#include <set>
+#include <sstream>
+
+namespace wisteriashunt
+{
+
+namespace
+{
+
+/// Lists the different parts in hexadecimal, as callers write them; the first ones if there are many.
+std::string partsOf(const endpoint_crash &crash)
+{
+    constexpr std::size_t maxListed = 16;
+    std::set<std::uint64_t> parts;
+    for (const auto &attempt : crash.attempts) {
+        parts.insert(attempt.parts.begin(), attempt.parts.end());
+    }
+    std::ostringstream text;
+    text << std::hex;
+    std::size_t listed = 0;
+    for (const auto part : parts) {
+        if (listed++ == maxListed) {
+            text << ",...";
+            break;
+        }
+        text << (listed > 1 ? "," : "") << part;
+    }
+    return parts.empty() ? "-" : text.str();
+}
+
+} // namespace
+
+endpoint_crash_watch::endpoint_crash_watch(event_loop &loop, event_log &log, endpoint_pool &pool, const crash_watch_options &options, crash_hook onCrash)
+    : m_loop(loop)
+    , m_log(log)
+    , m_pool(pool)
+    , m_options(options)
+    , m_onCrash(std::move(onCrash))
+{
+}
+
+void endpoint_crash_watch::onBroken(const endpoint_pointer &endpoint, unbegun_attempt attempt)
+{
+    if (endpoint->isRemoved || endpoint->record.isDraining) {
+        return;
+    }
+    const auto [position, isNew] = m_suspected.try_emplace(endpoint.get());
+    auto &suspected = position->second;
+    if (isNew) {
+        suspected.crash = {.endpoint = endpoint, .at = m_loop.now()};
+        suspected.connection = upstream_connection::open(m_loop, endpoint->record.address, m_options.channel);
+        check(endpoint.get());
+    }
+    if (suspected.crash.attempts.size() < m_options.maxAttempts) {
+        suspected.crash.attempts.push_back(std::move(attempt));
+    }
+}
+
+void endpoint_crash_watch::check(const listed_endpoint *endpoint)
+{
+    const auto position = m_suspected.find(endpoint);
+    const auto &[crash, connection] = position->second;
+    const auto elapsed = m_loop.now() - crash.at;
+    const bool isAlive = connection->isConnected() && elapsed >= m_options.aliveAfter;
+    const bool hasCrashed = elapsed >= m_options.checkPeriod && (!connection->isOpen() || (elapsed >= m_options.crashedAfter && !isAlive));
+    if (!isAlive && !hasCrashed) {
+        const auto timer = m_loop.schedule(m_loop.now() + m_options.checkPeriod, [this, endpoint] { check(endpoint); });
+        static_cast<void>(timer);
+        return;
+    }
+    const auto ended = m_suspected.extract(position);
+    const auto &suspected = ended.mapped();
+    if (!hasCrashed) {
+        m_pool.release(suspected.crash.endpoint, suspected.connection);
+        return;
+    }
+    suspected.connection->close();
+    m_log.write(event_number::endpoint_crashed,
+                {{"endpoint", suspected.crash.endpoint->record.id},
+                 {"service", suspected.crash.endpoint->record.service},
+                 {"unbegun", std::to_string(suspected.crash.attempts.size())},
+                 {"parts", partsOf(suspected.crash)},
+                 {"noticed_after_ms", milliseconds(elapsed)}});
+    m_onCrash(suspected.crash);
+}
+
+} // namespace wisteriashunt
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -15,6 +15,9 @@
 /// Descriptors reserved for connections to endpoints, the log and peers, and for files.
 constexpr std::size_t reservedDescriptors = 1200;
 
+/// Timeouts of connections to endpoints.
+constexpr channel_options endpointChannel{.peerTimeout = std::chrono::milliseconds(1000), .connectTimeout = std::chrono::milliseconds(200)};
+
 /// Period of onTick().
 constexpr std::chrono::milliseconds tickPeriod{100};
 
@@ -74,7 +77,8 @@
     , m_log(m_loop, {})
     , m_planner(m_roster, m_options.settings.availabilityZone, {.rateLimits = {.entryKey = hashText(m_options.settings.instance)}})
     , m_streams(m_roster)
-    , m_pool(m_loop, {.channel = {.peerTimeout = std::chrono::milliseconds(1000), .connectTimeout = std::chrono::milliseconds(200)}})
+    , m_pool(m_loop, {.channel = endpointChannel})
+    , m_crashes(m_loop, m_log, m_pool, {.channel = endpointChannel}, [](const endpoint_crash &) {})
     , m_context{.loop = m_loop,
                 .dialect = m_options.dialect,
                 .log = m_log,
@@ -82,6 +86,7 @@
                 .planner = m_planner,
                 .streams = m_streams,
                 .pool = m_pool,
+                .crashes = m_crashes,
                 .counters = m_counters,
                 .retryOptions = m_options.settings.retries,
                 .maxBodyBytes = m_options.settings.maxMemoryBytes / bodyMemoryDivisor}
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -86,6 +86,7 @@
     placement_planner m_planner;
     stream_versions m_streams;
     endpoint_pool m_pool;
+    endpoint_crash_watch m_crashes;
     metrics m_counters;
     gateway_context m_context;
     log_follower m_declarationsFollower;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -6,6 +6,7 @@
 #include "dispatch/stream_versions.h"
 #include "dispatch/waiting_line.h"
 #include "evidence/metrics.h"
+#include "gateway/endpoint_crash_watch.h"
 #include "gateway/endpoint_pool.h"
 #include "gateway/event_log.h"
 #include "gateway/wire_dialect.h"
@@ -46,6 +47,7 @@
     placement_planner &planner;
     stream_versions &streams;
     endpoint_pool &pool;
+    endpoint_crash_watch &crashes;
     metrics &counters;
     retry_allowance_options retryOptions;
     /// Routes of the declarations in force; nullptr until the first are read.
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -31,6 +31,18 @@
     return status < firstRedirect;
 }
 
+/// Returns the different IDs of all parts but the last, which belongs to the request itself or to its session.
+std::vector<std::uint64_t> sharedParts(const std::vector<prompt_part> &prompt)
+{
+    std::vector<std::uint64_t> ids;
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
+        if (std::find(ids.begin(), ids.end(), prompt[i].id) == ids.end()) {
+            ids.push_back(prompt[i].id);
+        }
+    }
+    return ids;
+}
+
 } // namespace
 
 request_session::request_session(gateway_context &context, std::shared_ptr<caller_connection> caller, received_request request)
@@ -140,6 +152,7 @@
                           .longestPause = m_route->eventGapTarget,
                           .softwareVersion = m_origin ? std::optional(m_origin->softwareVersion) : std::nullopt};
     m_resumeAfter = m_metadata.lastEvent;
+    m_sharedParts = sharedParts(m_metadata.prompt);
     m_context.allowanceOf(m_service).onRequest(m_arrival);
     m_context.planner.rateLimits().onArrival(m_service, m_rank, m_arrival);
     dispatch();
@@ -365,6 +378,7 @@
 {
     if (!m_hasFirstByte && !m_response.didNotRun) {
         m_hasFirstByte = true;
+        m_firstByteAt = m_context.loop.now();
         m_context.planner.onFirstByte(*m_placed, m_context.loop.now() - m_sentAt, m_context.loop.now());
     }
     if (!isStreamSuccess()) {
@@ -438,6 +452,7 @@
 void request_session::onBroken(std::string_view reason, std::string_view end)
 {
     logAttemptEnd(reason, end);
+    reportUnbegun();
     m_mayHaveRun = true;
     releaseEndpoint(endpoint_outcome::broken);
     if (m_caller == nullptr) {
@@ -452,6 +467,9 @@
     const bool wasSent = failure != exchange_failure::never_sent;
     const bool isUnreachable = !wasSent || end == close_reason::timed_out;
     logAttemptEnd(toString(failure), toString(end));
+    if (wasSent && (end == close_reason::closed_by_peer || end == close_reason::reset)) {
+        reportUnbegun();
+    }
     if (wasSent) {
         m_mayHaveRun = true;
     } else {
@@ -525,6 +543,15 @@
     m_placed.reset();
 }
 
+void request_session::reportUnbegun()
+{
+    // An endpoint that has answered for this long does not crash from beginning the answer.
+    constexpr std::chrono::milliseconds minAnswered{500};
+    if (m_placed && m_placementRequest.hasPrompt && (!m_hasFirstByte || m_context.loop.now() - m_firstByteAt < minAnswered)) {
+        m_context.crashes.onBroken(m_placed->endpoint, {.attemptId = m_metadata.attemptId, .parts = m_sharedParts});
+    }
+}
+
 void request_session::reportSilence()
 {
     // A caller that disconnects early is no evidence against the endpoint; one that disconnects after a long silence is.
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -71,6 +71,8 @@
     void releaseEndpoint(endpoint_outcome outcome);
     /// Abandons the running attempt, if there is one, and closes its connection.
     void dropAttempt();
+    /// Reports the attempt to the watch for crashes if its endpoint had not begun to answer it, or only just.
+    void reportUnbegun();
     /// Reports the attempt as broken to the endpoint's health if the endpoint has not begun to answer for a long time.
     void reportSilence();
 
@@ -99,6 +101,8 @@
     timer_id m_timer = 0;
 
     placement_request m_placementRequest;
+    /// IDs of the parts of the prompt that other requests may share.
+    std::vector<std::uint64_t> m_sharedParts;
     std::optional<admission_queue::ticket> m_ticket;
     timer_id m_queueTimer = 0;
     /// Tries the queue again when an endpoint that limits its requests per second has a permit.
@@ -109,6 +113,7 @@
     std::shared_ptr<upstream_connection> m_exchange;
     time_point m_sentAt;
     bool m_hasFirstByte = false;
+    time_point m_firstByteAt;
     /// Time from the arrival to the first forwarded byte, and the longest pause between forwarded bytes.
     duration m_firstByteAfter{};
     duration m_longestPause{};
