--- a/test/loopback_server.cpp
+++ b/test/loopback_server.cpp
@@ -36,10 +36,12 @@
     return ntohs(address.sin_port);
 }
 
-int listenOnLoopback()
+int listenOnLoopback(std::uint16_t port)
 {
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const auto address = loopback(0);
+    const int reuse = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+    const auto address = loopback(port);
     constexpr int backlog = 64;
     if (bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0 || listen(descriptor, backlog) != 0) {
         throw std::runtime_error("cannot listen on a free loopback port");
@@ -97,6 +99,19 @@
     return m_requests;
 }
 
+void loopback_server::crash(std::chrono::milliseconds downtime)
+{
+    int up = 0;
+    if (!m_downtime.compare_exchange_strong(up, static_cast<int>(downtime.count()))) {
+        return;
+    }
+    shutdown(m_listener, SHUT_RDWR);
+    const std::lock_guard lock(m_mutex);
+    for (const int descriptor : m_descriptors) {
+        shutdown(descriptor, SHUT_RDWR);
+    }
+}
+
 int loopback_server::abandonedConnections() const
 {
     return m_abandonedConnections;
@@ -106,9 +121,16 @@
 {
     while (!m_isStopping) {
         const int descriptor = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
-        if (descriptor < 0) {
+        if (descriptor < 0 && m_downtime == 0) {
             return;
         }
+        if (descriptor < 0) {
+            ::close(m_listener);
+            std::this_thread::sleep_for(std::chrono::milliseconds(m_downtime));
+            m_listener = listenOnLoopback(m_port);
+            m_downtime = 0;
+            continue;
+        }
         const std::lock_guard lock(m_mutex);
         m_descriptors.push_back(descriptor);
         m_threads.emplace_back([this, descriptor] { serve(descriptor); });
--- a/test/loopback_server.h
+++ b/test/loopback_server.h
@@ -42,6 +42,8 @@
     [[nodiscard]] std::uint16_t port() const;
     /// All requests received so far.
     [[nodiscard]] std::vector<received_request> requests() const;
+    /// Closes all connections and refuses new ones for the time, then listens on the same port again. May be called from the handler.
+    void crash(std::chrono::milliseconds downtime);
     /// Number of connections that the client closed before the response was complete.
     [[nodiscard]] int abandonedConnections() const;
 
@@ -51,9 +53,11 @@
     bool writeAnswer(int descriptor, const scripted_response &answer);
 
     handler m_handler;
-    int m_listener;
+    std::atomic<int> m_listener;
     std::uint16_t m_port = 0;
     std::atomic<bool> m_isStopping{false};
+    /// Milliseconds for which the server is down; 0 while it listens.
+    std::atomic<int> m_downtime{0};
     std::atomic<int> m_abandonedConnections{0};
     mutable std::mutex m_mutex;
     std::vector<received_request> m_requests;
@@ -96,8 +100,8 @@
     bool m_wasReset = false;
 };
 
-/// Opens a listener on a free loopback port and returns its descriptor. Throws std::runtime_error on failure.
-[[nodiscard]] int listenOnLoopback();
+/// Opens a listener on the loopback port, or a free one if it is 0, and returns its descriptor. Throws std::runtime_error on failure.
+[[nodiscard]] int listenOnLoopback(std::uint16_t port = 0);
 /// Returns the port to which a listener is bound.
 [[nodiscard]] std::uint16_t portOf(int descriptor);
 /// Connects to a loopback port. Returns the descriptor, or -1 on failure.
