--- a/include/wisteriashunt/errors.h
+++ b/include/wisteriashunt/errors.h
@@ -34,6 +34,7 @@
     platform_unavailable,
     peer_rejected,
     malformed_frame,
+    prompt_quarantined,
 };
 
 /// Whether the requested work may have run. Work that has not run can be requested again without running twice.
--- a/src/dispatch/attempt_policy.cpp
+++ b/src/dispatch/attempt_policy.cpp
@@ -71,7 +71,8 @@
     case attempt_outcome::server_error:
         return mayRepeat(state) && state.hasTime && hasAttempts && trySpendRetry() ? next_step::send_again : next_step::answer;
     case attempt_outcome::broken:
-        return mayRepeat(state) && state.hasTime && hasAttempts && trySpendRetry() ? next_step::send_again : endWithoutAnswer(state);
+        return mayRepeat(state) && !state.mayCrashEndpoints && state.hasTime && hasAttempts && trySpendRetry() ? next_step::send_again
+                                                                                                               : endWithoutAnswer(state);
     }
     return next_step::report_unknown;
 }
--- a/src/dispatch/attempt_policy.h
+++ b/src/dispatch/attempt_policy.h
@@ -54,6 +54,8 @@
     bool hasForwarded = false;
     /// True if an earlier attempt may have run.
     bool mayHaveRun = false;
+    /// True if endpoints have crashed under requests like this one, so that it is not sent again after a broken attempt without an answer.
+    bool mayCrashEndpoints = false;
     /// True if the deadline leaves time for another attempt.
     bool hasTime = true;
 };
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -131,6 +131,8 @@
     no_endpoint,
     /// No endpoint can take the request within its limits.
     overloaded,
+    /// Endpoints have crashed under such requests; see prompt_quarantine.
+    quarantined,
 };
 
 /// Result of placement_planner::place().
--- /dev/null
+++ b/src/dispatch/prompt_quarantine.cpp
@@ -0,0 +1,468 @@
+#include "dispatch/prompt_quarantine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteriashunt
+{
+
+namespace
+{
+
+bool isSubset(const part_set &parts, const part_set &of)
+{
+    return std::includes(of.begin(), of.end(), parts.begin(), parts.end());
+}
+
+} // namespace
+
+prompt_quarantine::prompt_quarantine(const prompt_quarantine_options &options)
+    : m_options(options)
+{
+}
+
+std::vector<const prompt_quarantine::held_state *> prompt_quarantine::heldWithin(const std::string &service, const part_set &parts) const
+{
+    std::vector<const held_state *> found;
+    const auto state = m_services.find(service);
+    if (state == m_services.end()) {
+        return found;
+    }
+    for (const auto &[combination, held] : state->second.held) {
+        if (isSubset(combination, parts)) {
+            found.push_back(&held);
+        }
+    }
+    return found;
+}
+
+quarantine_verdict prompt_quarantine::check(const std::string &service, const part_set &parts, time_point now) const
+{
+    const auto held = heldWithin(service, parts);
+    if (held.empty()) {
+        return quarantine_verdict::free;
+    }
+    const bool isDue = std::all_of(held.begin(), held.end(), [now](const held_state *each) { return now >= each->nextTrial; });
+    return isDue ? quarantine_verdict::trial : quarantine_verdict::held;
+}
+
+duration prompt_quarantine::untilTrial(const std::string &service, const part_set &parts, time_point now) const
+{
+    duration wait{};
+    for (const auto *held : heldWithin(service, parts)) {
+        wait = std::max(wait, held->nextTrial - now);
+    }
+    return wait;
+}
+
+void prompt_quarantine::onTrial(const std::string &service, const part_set &parts, time_point now)
+{
+    for (auto &[combination, held] : m_services[service].held) {
+        if (isSubset(combination, parts)) {
+            held.isTrialRunning = true;
+            held.nextTrial = now + m_options.trialTimeout;
+            m_hasNews = true;
+        }
+    }
+}
+
+bool prompt_quarantine::mayRepeat(const std::string &service, const part_set &parts) const
+{
+    const auto state = m_services.find(service);
+    if (state == m_services.end() || state->second.accused.empty()) {
+        return true;
+    }
+    return std::none_of(parts.begin(), parts.end(), [&](std::uint64_t part) {
+        return countSeparate(state->second, unexplainedCrashes(state->second, part)) >= m_options.crashesToStopRepeats;
+    });
+}
+
+std::set<std::uint64_t> prompt_quarantine::unexplainedCrashes(const service_state &state, std::uint64_t part)
+{
+    std::set<std::uint64_t> crashes;
+    const auto accused = state.accused.find(part);
+    if (accused == state.accused.end()) {
+        return crashes;
+    }
+    for (const auto &[crashKey, attempts] : accused->second) {
+        const auto &requests = state.crashes.at(crashKey).accused;
+        const bool isExplained = std::any_of(state.held.begin(), state.held.end(), [&](const auto &held) {
+            return !held.first.contains(part)
+                && std::any_of(requests.begin(), requests.end(), [&](const accused_request &request) { return isSubset(held.first, request.parts); });
+        });
+        if (!isExplained) {
+            crashes.insert(crashKey);
+        }
+    }
+    return crashes;
+}
+
+std::size_t prompt_quarantine::countSeparate(const service_state &state, const std::set<std::uint64_t> &crashes) const
+{
+    std::vector<time_point> times;
+    for (const auto key : crashes) {
+        times.push_back(state.crashes.at(key).at);
+    }
+    std::sort(times.begin(), times.end());
+    std::size_t count = 0;
+    time_point lastCounted;
+    for (const auto at : times) {
+        if (count == 0 || at - lastCounted >= m_options.crashSeparation) {
+            ++count;
+            lastCounted = at;
+        }
+    }
+    return count;
+}
+
+bool prompt_quarantine::isGuilty(const service_state &state, std::uint64_t part, const std::set<std::uint64_t> &crashes) const
+{
+    if (countSeparate(state, crashes) < m_options.crashesToHold) {
+        return false;
+    }
+    std::set<std::uint64_t> attempts;
+    std::uint64_t answersBefore = state.answers;
+    for (const auto key : crashes) {
+        const auto &accusing = state.accused.at(part).at(key);
+        attempts.insert(accusing.begin(), accusing.end());
+        answersBefore = std::min(answersBefore, state.crashes.at(key).answersBefore);
+    }
+    return attempts.size() >= m_options.requestsToHold && state.answers - answersBefore >= m_options.answersToHold;
+}
+
+prompt_quarantine::known_crash &prompt_quarantine::addCrash(service_state &state, const crash_report &crash, time_point now)
+{
+    const auto at = now - crash.age;
+    const auto [position, isNew] = state.crashes.try_emplace(crash.endpoint);
+    auto &known = position->second;
+    if (isNew) {
+        known = {.at = at, .answersBefore = state.answers};
+    }
+    known.at = std::min(known.at, at);
+    for (const auto &request : crash.accused) {
+        if (known.accused.size() >= m_options.maxAccusedRequests) {
+            break;
+        }
+        known.accused.push_back(request);
+        for (const auto part : request.parts) {
+            if (lastAnswered(state.answered, part) <= at) {
+                state.accused[part][crash.endpoint].insert(request.attempt);
+            }
+        }
+    }
+    return known;
+}
+
+void prompt_quarantine::onCrash(const crash_report &crash, time_point now)
+{
+    auto &state = m_services[crash.service];
+    forgetOutdated(crash.service, state, now);
+    auto &known = addCrash(state, crash, now);
+    known.ownAccused.insert(known.ownAccused.end(), crash.accused.begin(), crash.accused.end());
+    known.repetitions = m_options.repetitions;
+    m_hasNews = true;
+    noteCrashUnderHeld(state, crash.endpoint, now);
+    holdGuilty(crash.service, state, known, now);
+}
+
+void prompt_quarantine::noteCrashUnderHeld(service_state &state, std::uint64_t crashKey, time_point now)
+{
+    const auto &requests = state.crashes.at(crashKey).accused;
+    for (auto &[combination, held] : state.held) {
+        const auto &parts = combination;
+        const bool isUnder = std::any_of(requests.begin(), requests.end(), [&parts](const accused_request &request) { return isSubset(parts, request.parts); });
+        const bool isLater = state.crashes.at(crashKey).at > held.heldAt;
+        if (!isUnder || !isLater || !held.crashes.insert(crashKey).second) {
+            continue;
+        }
+        ++held.crashCount;
+        held.failedTrials += std::exchange(held.isTrialRunning, false) ? 1 : 0;
+        duration pause = m_options.trialPause;
+        for (int i = 0; i < held.failedTrials && pause < m_options.maxTrialPause; ++i) {
+            pause *= m_options.trialBackoff;
+        }
+        held.nextTrial = std::max(held.nextTrial, now + std::min(pause, m_options.maxTrialPause));
+        m_hasNews = true;
+    }
+}
+
+void prompt_quarantine::holdGuilty(const std::string &service, service_state &state, const known_crash &crash, time_point now)
+{
+    part_set parts;
+    for (const auto &request : crash.accused) {
+        parts.insert(request.parts.begin(), request.parts.end());
+    }
+    while (true) {
+        // The largest set of crashes goes first: once its parts are held, they explain crashes that accuse others as well.
+        std::set<std::uint64_t> mostCrashes;
+        part_set guilty;
+        for (const auto part : parts) {
+            const auto crashes = unexplainedCrashes(state, part);
+            if (state.held.contains({part}) || !isGuilty(state, part, crashes) || crashes.size() < mostCrashes.size()) {
+                continue;
+            }
+            if (crashes != mostCrashes) {
+                guilty.clear();
+                mostCrashes = crashes;
+            }
+            guilty.insert(part);
+        }
+        if (guilty.empty() || state.held.contains(guilty)) {
+            return;
+        }
+        const held_state held{
+            .crashes = mostCrashes, .crashCount = static_cast<int>(mostCrashes.size()), .heldAt = now, .nextTrial = now + m_options.firstTrialAfter};
+        hold(service, state, guilty, held, "crashes", now);
+    }
+}
+
+void prompt_quarantine::hold(const std::string &service, service_state &state, const part_set &parts, held_state held, std::string_view reason, time_point now)
+{
+    releaseSupersets(service, state, parts, now);
+    if (state.held.size() >= m_options.maxHeld) {
+        const auto oldest = std::min_element(
+            state.held.begin(), state.held.end(), [](const auto &left, const auto &right) { return left.second.heldAt < right.second.heldAt; });
+        noteChange(service, oldest->first, oldest->second, false, "expired", now);
+        state.held.erase(oldest);
+    }
+    noteChange(service, parts, held, true, reason, now);
+    state.held.emplace(parts, std::move(held));
+    m_hasNews = true;
+}
+
+void prompt_quarantine::releaseSupersets(const std::string &service, service_state &state, const part_set &parts, time_point now)
+{
+    for (auto held = state.held.begin(); held != state.held.end();) {
+        if (held->first != parts && isSubset(parts, held->first)) {
+            noteChange(service, held->first, held->second, false, "told_apart", now);
+            held = state.held.erase(held);
+        } else {
+            ++held;
+        }
+    }
+}
+
+void prompt_quarantine::onAnswered(const std::string &service, const part_set &parts, time_point now)
+{
+    auto &state = m_services[service];
+    ++state.answers;
+    for (const auto part : parts) {
+        rememberAnswer(state.answered, part, now);
+        const bool isAccused =
+            state.accused.contains(part) || std::any_of(state.held.begin(), state.held.end(), [part](const auto &held) { return held.first.contains(part); });
+        if (isAccused) {
+            acquit(service, state, part, now, "answered", now);
+            tellAcquittal(state, part, now);
+        }
+    }
+}
+
+void prompt_quarantine::acquit(const std::string &service, service_state &state, std::uint64_t part, time_point at, std::string_view reason, time_point now)
+{
+    if (const auto accused = state.accused.find(part); accused != state.accused.end()) {
+        std::erase_if(accused->second, [&](const auto &accusation) { return state.crashes.at(accusation.first).at <= at; });
+        if (accused->second.empty()) {
+            state.accused.erase(accused);
+        }
+    }
+    std::vector<part_set> combinations;
+    for (const auto &[combination, held] : state.held) {
+        if (combination.contains(part) && held.heldAt <= at) {
+            combinations.push_back(combination);
+        }
+    }
+    for (const auto &combination : combinations) {
+        auto released = state.held.extract(combination);
+        noteChange(service, combination, released.mapped(), false, reason, now);
+        part_set rest = combination;
+        rest.erase(part);
+        if (!rest.empty() && !state.held.contains(rest)) {
+            hold(service, state, rest, released.mapped(), "told_apart", now);
+        }
+    }
+}
+
+void prompt_quarantine::tellAcquittal(service_state &state, std::uint64_t part, time_point at)
+{
+    state.acquittals[part] = {.at = at, .repetitions = m_options.repetitions};
+    m_hasNews = true;
+}
+
+void prompt_quarantine::rememberAnswer(answer_memory &memory, std::uint64_t part, time_point now) const
+{
+    if (memory.recent.size() >= m_options.maxRememberedAnswers / 2) {
+        memory.older = std::exchange(memory.recent, {});
+    }
+    auto &last = memory.recent[part];
+    last = std::max(last, now);
+}
+
+time_point prompt_quarantine::lastAnswered(const answer_memory &memory, std::uint64_t part)
+{
+    time_point last;
+    for (const auto *answers : {&memory.recent, &memory.older}) {
+        if (const auto found = answers->find(part); found != answers->end()) {
+            last = std::max(last, found->second);
+        }
+    }
+    return last;
+}
+
+void prompt_quarantine::forgetCrash(service_state &state, std::uint64_t crashKey)
+{
+    for (const auto &request : state.crashes.at(crashKey).accused) {
+        for (const auto part : request.parts) {
+            const auto accused = state.accused.find(part);
+            if (accused != state.accused.end() && accused->second.erase(crashKey) > 0 && accused->second.empty()) {
+                state.accused.erase(accused);
+            }
+        }
+    }
+    state.crashes.erase(crashKey);
+}
+
+void prompt_quarantine::forgetOutdated(const std::string &service, service_state &state, time_point now)
+{
+    const auto isOlder = [](const auto &left, const auto &right) { return left.second.at < right.second.at; };
+    while (!state.crashes.empty()) {
+        const auto oldest = std::min_element(state.crashes.begin(), state.crashes.end(), isOlder);
+        if (state.crashes.size() < m_options.maxCrashes && now - oldest->second.at <= m_options.memory) {
+            break;
+        }
+        forgetCrash(state, oldest->first);
+    }
+    for (auto held = state.held.begin(); held != state.held.end();) {
+        if (now - held->second.nextTrial > m_options.maxTrialPause) {
+            noteChange(service, held->first, held->second, false, "expired", now);
+            held = state.held.erase(held);
+        } else {
+            ++held;
+        }
+    }
+}
+
+bool prompt_quarantine::hasNews() const
+{
+    return m_hasNews;
+}
+
+quarantine_digest prompt_quarantine::digest(time_point now)
+{
+    quarantine_digest result;
+    const bool tellsHeld = m_hasNews || now - m_heldToldAt >= m_options.heldPeriod;
+    for (auto &[service, state] : m_services) {
+        if (tellsHeld) {
+            forgetOutdated(service, state, now);
+        }
+        for (auto &[key, crash] : state.crashes) {
+            if (crash.repetitions > 0 && result.crashes.size() < m_options.maxCrashesInDigest) {
+                result.crashes.push_back({.service = service, .endpoint = key, .age = now - crash.at, .accused = crash.ownAccused});
+                --crash.repetitions;
+            }
+        }
+        for (auto &[part, told] : state.acquittals) {
+            result.acquittals.push_back({.service = service, .part = part, .age = now - told.at});
+            --told.repetitions;
+        }
+        std::erase_if(state.acquittals, [](const auto &told) { return told.second.repetitions <= 0; });
+        for (const auto &[combination, held] : state.held) {
+            if (tellsHeld) {
+                result.held.push_back({.service = service,
+                                       .parts = combination,
+                                       .crashes = held.crashCount,
+                                       .age = now - held.heldAt,
+                                       .untilTrial = std::max<duration>(held.nextTrial - now, {})});
+            }
+        }
+    }
+    m_heldToldAt = tellsHeld ? now : m_heldToldAt;
+    m_hasNews = false;
+    return result;
+}
+
+void prompt_quarantine::onPeerDigest(const quarantine_digest &digest, time_point now)
+{
+    // Acquittals come first, so that the crashes of the same digest do not hold what its sender has acquitted since.
+    for (const auto &told : digest.acquittals) {
+        auto &state = m_services[told.service];
+        rememberAnswer(state.answered, told.part, now - told.age);
+        acquit(told.service, state, told.part, now - told.age, "peer_answered", now);
+    }
+    for (const auto &held : digest.held) {
+        adopt(held, now);
+    }
+    for (const auto &crash : digest.crashes) {
+        if (crash.age > m_options.memory) {
+            continue;
+        }
+        auto &state = m_services[crash.service];
+        forgetOutdated(crash.service, state, now);
+        // The same report comes several times.
+        auto unknown = crash;
+        if (const auto known = state.crashes.find(crash.endpoint); known != state.crashes.end()) {
+            std::erase_if(unknown.accused, [&](const accused_request &request) {
+                const auto &accused = known->second.accused;
+                return std::find(accused.begin(), accused.end(), request) != accused.end();
+            });
+        }
+        const auto &known = addCrash(state, unknown, now);
+        noteCrashUnderHeld(state, crash.endpoint, now);
+        holdGuilty(crash.service, state, known, now);
+    }
+}
+
+void prompt_quarantine::adopt(const held_parts &told, time_point now)
+{
+    auto &state = m_services[told.service];
+    const auto heldAt = now - told.age;
+    part_set parts = told.parts;
+    for (const auto part : told.parts) {
+        const auto answeredAt = lastAnswered(state.answered, part);
+        if (answeredAt > heldAt) {
+            parts.erase(part);
+            tellAcquittal(state, part, answeredAt);
+        }
+    }
+    if (parts.empty()) {
+        return;
+    }
+    if (const auto known = state.held.find(parts); known != state.held.end()) {
+        known->second.crashCount = std::max(known->second.crashCount, told.crashes);
+        known->second.nextTrial = std::max(known->second.nextTrial, now + told.untilTrial);
+        return;
+    }
+    const bool isToldApart = std::any_of(state.held.begin(), state.held.end(), [&parts](const auto &held) { return isSubset(held.first, parts); });
+    if (!isToldApart) {
+        const bool hadNews = m_hasNews;
+        hold(told.service, state, parts, {.crashCount = told.crashes, .heldAt = heldAt, .nextTrial = now + told.untilTrial}, "peer", now);
+        m_hasNews = hadNews;
+    }
+}
+
+void prompt_quarantine::noteChange(
+    const std::string &service, const part_set &parts, const held_state &held, bool isHeld, std::string_view reason, time_point now)
+{
+    m_changes.push_back({.held = {.service = service,
+                                  .parts = parts,
+                                  .crashes = held.crashCount,
+                                  .age = now - held.heldAt,
+                                  .untilTrial = std::max<duration>(held.nextTrial - now, {})},
+                         .isHeld = isHeld,
+                         .reason = std::string(reason)});
+}
+
+std::vector<held_change> prompt_quarantine::takeChanges()
+{
+    return std::exchange(m_changes, {});
+}
+
+std::size_t prompt_quarantine::heldCombinations() const
+{
+    std::size_t count = 0;
+    for (const auto &[service, state] : m_services) {
+        count += state.held.size();
+    }
+    return count;
+}
+
+} // namespace wisteriashunt
--- /dev/null
+++ b/src/dispatch/prompt_quarantine.h
@@ -0,0 +1,239 @@
+/// Learns which parts of prompts crash endpoints, and holds requests with them.
+///
+/// One of the requests that an endpoint had not begun to answer when it crashed may be the cause. Each crash accuses all shared parts of these
+/// requests; a request that is answered acquits its parts. A part that is only popular is answered elsewhere between two crashes, so a part
+/// that is still accused after several crashes at different times, while other requests of the service are answered, is held. Parts that the
+/// same crashes accuse cannot be told apart: only requests with all of them are held. Entries tell each other of crashes, acquittals and held
+/// parts.
+#pragma once
+
+#include "wisteriashunt/time.h"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace wisteriashunt
+{
+
+/// IDs of parts of one prompt that other prompts may share.
+using part_set = std::set<std::uint64_t>;
+
+/// A request that an endpoint had not begun to answer when it crashed.
+struct accused_request
+{
+    /// Hash of the ID of the caller's attempt.
+    std::uint64_t attempt = 0;
+    part_set parts;
+
+    auto operator<=>(const accused_request &) const = default;
+};
+
+/// A crash of one incarnation of an endpoint, as one entry saw it.
+struct crash_report
+{
+    std::string service;
+    /// Hash of the endpoint's ID and start.
+    std::uint64_t endpoint = 0;
+    duration age{};
+    std::vector<accused_request> accused;
+
+    bool operator==(const crash_report &) const = default;
+};
+
+/// A part with which a request was answered although crashes had accused it.
+struct acquittal
+{
+    std::string service;
+    std::uint64_t part = 0;
+    duration age{};
+
+    bool operator==(const acquittal &) const = default;
+};
+
+/// A held combination of parts. Requests with all of them are refused, except for one trial at a time.
+struct held_parts
+{
+    std::string service;
+    part_set parts;
+    /// Crashes under requests with the parts.
+    int crashes = 0;
+    /// Time since they were held.
+    duration age{};
+    duration untilTrial{};
+
+    bool operator==(const held_parts &) const = default;
+};
+
+/// Part of a message between entries that concerns prompts that crash endpoints.
+struct quarantine_digest
+{
+    std::vector<crash_report> crashes;
+    std::vector<acquittal> acquittals;
+    std::vector<held_parts> held;
+
+    bool operator==(const quarantine_digest &) const = default;
+};
+
+/// Settings of a prompt_quarantine.
+struct prompt_quarantine_options
+{
+    /// Crashes within this time of each other count as one: endpoints that fail together have a common cause of another kind.
+    duration crashSeparation = std::chrono::milliseconds(100);
+    /// Separate crashes after which an accused part is held.
+    std::size_t crashesToHold = 3;
+    /// Different requests with the part that must have been there.
+    std::size_t requestsToHold = 2;
+    /// Requests of the service that must have been answered here since the first of these crashes. A service that answers nothing does not fail
+    /// because of one part.
+    std::uint64_t answersToHold = 5;
+    /// Separate crashes after which a request with an accused part is not sent a second time.
+    std::size_t crashesToStopRepeats = 2;
+    /// Time for which crashes are remembered.
+    duration memory = std::chrono::minutes(5);
+    /// Time from the hold to the first trial, unless endpoints crash under the parts meanwhile.
+    duration firstTrialAfter = std::chrono::seconds(2);
+    /// Time from a crash under held parts to the next trial. Grows by trialBackoff with each trial that fails, up to maxTrialPause.
+    duration trialPause = std::chrono::seconds(60);
+    int trialBackoff = 4;
+    /// Held parts that nobody has asked for during this time after their trial was due are forgotten.
+    duration maxTrialPause = std::chrono::hours(1);
+    /// Time after which a trial without result makes way for the next one.
+    duration trialTimeout = std::chrono::seconds(5);
+    /// Digests that carry each crash and acquittal, in case one is lost.
+    int repetitions = 3;
+    /// Time between two digests that carry the held parts while nothing changes.
+    duration heldPeriod = std::chrono::milliseconds(500);
+    std::size_t maxCrashes = 128;
+    std::size_t maxCrashesInDigest = 8;
+    std::size_t maxAccusedRequests = 64;
+    std::size_t maxHeld = 64;
+    std::size_t maxRememberedAnswers = 16384;
+};
+
+/// What may be done with a request.
+enum class quarantine_verdict {
+    free,
+    /// The request is the trial of held parts; see prompt_quarantine::onTrial().
+    trial,
+    held,
+};
+
+/// A change of the held parts.
+struct held_change
+{
+    held_parts held;
+    bool isHeld = false;
+    /// "crashes" or "peer" if they are held now; "answered", "peer_answered", "told_apart" or "expired" if they no longer are.
+    std::string reason;
+};
+
+/// Not thread-safe.
+class prompt_quarantine
+{
+public:
+    explicit prompt_quarantine(const prompt_quarantine_options &options = {});
+
+    /// Decides about a request with these parts.
+    [[nodiscard]] quarantine_verdict check(const std::string &service, const part_set &parts, time_point now) const;
+    /// Returns the time until a request with these parts may be tried; zero if they are not held.
+    [[nodiscard]] duration untilTrial(const std::string &service, const part_set &parts, time_point now) const;
+    /// Records that a request for which check() returned trial is sent.
+    void onTrial(const std::string &service, const part_set &parts, time_point now);
+    /// Returns whether a request with these parts may be sent again after its endpoint failed before answering.
+    [[nodiscard]] bool mayRepeat(const std::string &service, const part_set &parts) const;
+
+    /// Records a crash that this entry saw.
+    void onCrash(const crash_report &crash, time_point now);
+    /// Records that a request with these parts was answered, or has been for so long that it does not crash its endpoint.
+    void onAnswered(const std::string &service, const part_set &parts, time_point now);
+
+    /// Returns whether the next digest tells peers of something new.
+    [[nodiscard]] bool hasNews() const;
+    [[nodiscard]] quarantine_digest digest(time_point now);
+    void onPeerDigest(const quarantine_digest &digest, time_point now);
+
+    /// Returns the changes since the last call.
+    [[nodiscard]] std::vector<held_change> takeChanges();
+
+    /// Returns the number of held combinations of parts.
+    [[nodiscard]] std::size_t heldCombinations() const;
+
+private:
+    struct known_crash
+    {
+        time_point at;
+        std::vector<accused_request> accused;
+        /// Requests of the service that had been answered here when the crash was learnt of.
+        std::uint64_t answersBefore = 0;
+        /// What this entry saw, and the number of digests that are still to carry it.
+        std::vector<accused_request> ownAccused;
+        int repetitions = 0;
+    };
+    struct held_state
+    {
+        /// Crashes of which this entry knows.
+        std::set<std::uint64_t> crashes;
+        /// At least the number of these crashes; more if a peer knows more.
+        int crashCount = 0;
+        int failedTrials = 0;
+        time_point heldAt;
+        time_point nextTrial;
+        /// Whether this entry has sent a trial that has no result yet.
+        bool isTrialRunning = false;
+    };
+    struct pending_acquittal
+    {
+        time_point at;
+        int repetitions = 0;
+    };
+    /// Attempts that accuse a part, by crash.
+    using accusations = std::map<std::uint64_t, std::set<std::uint64_t>>;
+    /// Remembers when parts were last answered, for at least the last half of maxRememberedAnswers.
+    struct answer_memory
+    {
+        std::unordered_map<std::uint64_t, time_point> recent;
+        std::unordered_map<std::uint64_t, time_point> older;
+    };
+    struct service_state
+    {
+        std::map<std::uint64_t, known_crash> crashes;
+        std::unordered_map<std::uint64_t, accusations> accused;
+        std::map<part_set, held_state> held;
+        answer_memory answered;
+        std::uint64_t answers = 0;
+        std::map<std::uint64_t, pending_acquittal> acquittals;
+    };
+
+    [[nodiscard]] std::vector<const held_state *> heldWithin(const std::string &service, const part_set &parts) const;
+    /// Returns the crashes that accuse the part and that held parts do not explain.
+    [[nodiscard]] static std::set<std::uint64_t> unexplainedCrashes(const service_state &state, std::uint64_t part);
+    [[nodiscard]] std::size_t countSeparate(const service_state &state, const std::set<std::uint64_t> &crashes) const;
+    [[nodiscard]] bool isGuilty(const service_state &state, std::uint64_t part, const std::set<std::uint64_t> &crashes) const;
+    known_crash &addCrash(service_state &state, const crash_report &crash, time_point now);
+    void noteCrashUnderHeld(service_state &state, std::uint64_t crashKey, time_point now);
+    /// Holds parts until no further one is guilty.
+    void holdGuilty(const std::string &service, service_state &state, const known_crash &crash, time_point now);
+    void hold(const std::string &service, service_state &state, const part_set &parts, held_state held, std::string_view reason, time_point now);
+    void releaseSupersets(const std::string &service, service_state &state, const part_set &parts, time_point now);
+    void acquit(const std::string &service, service_state &state, std::uint64_t part, time_point at, std::string_view reason, time_point now);
+    void adopt(const held_parts &told, time_point now);
+    void tellAcquittal(service_state &state, std::uint64_t part, time_point at);
+    void rememberAnswer(answer_memory &memory, std::uint64_t part, time_point now) const;
+    [[nodiscard]] static time_point lastAnswered(const answer_memory &memory, std::uint64_t part);
+    void forgetOutdated(const std::string &service, service_state &state, time_point now);
+    void forgetCrash(service_state &state, std::uint64_t crashKey);
+    void noteChange(const std::string &service, const part_set &parts, const held_state &held, bool isHeld, std::string_view reason, time_point now);
+
+    prompt_quarantine_options m_options;
+    std::map<std::string, service_state> m_services;
+    std::vector<held_change> m_changes;
+    bool m_hasNews = false;
+    time_point m_heldToldAt;
+};
+
+} // namespace wisteriashunt
--- a/src/evidence/decision.cpp
+++ b/src/evidence/decision.cpp
@@ -64,6 +64,12 @@
         return "rate_limit_unusable";
     case event_number::endpoint_crashed:
         return "endpoint_crashed";
+    case event_number::prompt_held:
+        return "prompt_held";
+    case event_number::prompt_freed:
+        return "prompt_freed";
+    case event_number::prompt_tried:
+        return "prompt_tried";
     case event_number::peer_up:
         return "peer_up";
     case event_number::peer_down:
--- a/src/gateway/endpoint_crash_watch.cpp
+++ b/src/gateway/endpoint_crash_watch.cpp
@@ -1,22 +1,13 @@
 #include "gateway/endpoint_crash_watch.h"
 
-#include <set>
 #include <sstream>
 
 namespace wisteriashunt
 {
 
-namespace
-{
-
-/// Lists the different parts in hexadecimal, as callers write them; the first ones if there are many.
-std::string partsOf(const endpoint_crash &crash)
+std::string hexadecimalList(const part_set &parts)
 {
     constexpr std::size_t maxListed = 16;
-    std::set<std::uint64_t> parts;
-    for (const auto &attempt : crash.attempts) {
-        parts.insert(attempt.parts.begin(), attempt.parts.end());
-    }
     std::ostringstream text;
     text << std::hex;
     std::size_t listed = 0;
@@ -30,8 +21,6 @@
     return parts.empty() ? "-" : text.str();
 }
 
-} // namespace
-
 endpoint_crash_watch::endpoint_crash_watch(event_loop &loop, event_log &log, endpoint_pool &pool, const crash_watch_options &options, crash_hook onCrash)
     : m_loop(loop)
     , m_log(log)
@@ -77,11 +66,15 @@
         return;
     }
     suspected.connection->close();
+    part_set parts;
+    for (const auto &attempt : suspected.crash.attempts) {
+        parts.insert(attempt.parts.begin(), attempt.parts.end());
+    }
     m_log.write(event_number::endpoint_crashed,
                 {{"endpoint", suspected.crash.endpoint->record.id},
                  {"service", suspected.crash.endpoint->record.service},
                  {"unbegun", std::to_string(suspected.crash.attempts.size())},
-                 {"parts", partsOf(suspected.crash)},
+                 {"parts", hexadecimalList(parts)},
                  {"noticed_after_ms", milliseconds(elapsed)}});
     m_onCrash(suspected.crash);
 }
--- a/src/gateway/endpoint_crash_watch.h
+++ b/src/gateway/endpoint_crash_watch.h
@@ -1,6 +1,7 @@
 /// Tells crashes of endpoints from connections that only broke.
 #pragma once
 
+#include "dispatch/prompt_quarantine.h"
 #include "gateway/endpoint_pool.h"
 #include "gateway/event_log.h"
 #include "net/event_loop.h"
@@ -20,7 +21,7 @@
 {
     std::string attemptId;
     /// IDs of the parts of its prompt that other requests may share.
-    std::vector<std::uint64_t> parts;
+    part_set parts;
 
     bool operator==(const unbegun_attempt &) const = default;
 };
@@ -34,6 +35,9 @@
     std::vector<unbegun_attempt> attempts;
 };
 
+/// Lists the parts in hexadecimal, as callers write them, separated by commas; the first ones if there are many. Returns "-" if there are none.
+[[nodiscard]] std::string hexadecimalList(const part_set &parts);
+
 /// Settings of an endpoint_crash_watch.
 struct crash_watch_options
 {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -78,13 +78,14 @@
     , m_planner(m_roster, m_options.settings.availabilityZone, {.rateLimits = {.entryKey = hashText(m_options.settings.instance)}})
     , m_streams(m_roster)
     , m_pool(m_loop, {.channel = endpointChannel})
-    , m_crashes(m_loop, m_log, m_pool, {.channel = endpointChannel}, [](const endpoint_crash &) {})
+    , m_crashes(m_loop, m_log, m_pool, {.channel = endpointChannel}, [this](const endpoint_crash &crash) { onEndpointCrash(crash); })
     , m_context{.loop = m_loop,
                 .dialect = m_options.dialect,
                 .log = m_log,
                 .roster = m_roster,
                 .planner = m_planner,
                 .streams = m_streams,
+                .quarantine = m_quarantine,
                 .pool = m_pool,
                 .crashes = m_crashes,
                 .counters = m_counters,
@@ -127,7 +128,7 @@
                        .onClosed = [this](caller_connection &caller) { m_readinessCallers.release(m_loop, caller); },
                        .onFault = [this](const auto &caller, read_fault fault) { onFault(caller, fault); }}))
 {
-    m_context.onStreamCut = [this] { announceStreams(); };
+    m_context.onNewsForPeers = [this] { announceNews(); };
     m_roster.onUnavailable = [this](const endpoint_pointer &endpoint) {
         m_log.write(endpoint->isRemoved ? event_number::endpoint_gone : event_number::endpoint_draining, {{"endpoint", endpoint->record.id}});
         m_pool.closeIdle(endpoint);
@@ -187,9 +188,37 @@
         [this](const socket_address &from, const entry_message &message) { onPeerMessage(from, message); });
 }
 
-void gateway::announceStreams()
+void gateway::onEndpointCrash(const endpoint_crash &crash)
 {
-    if (m_peers == nullptr || m_isAnnouncementScheduled || !m_streams.hasNews(m_loop.now())) {
+    const auto &record = crash.endpoint->record;
+    crash_report report{.service = record.service,
+                        .endpoint = mixBits(hashText(record.id) ^ static_cast<std::uint64_t>(record.startedAtMilliseconds)),
+                        .age = m_loop.now() - crash.at};
+    for (const auto &attempt : crash.attempts) {
+        report.accused.push_back({.attempt = hashText(attempt.attemptId), .parts = attempt.parts});
+    }
+    m_quarantine.onCrash(report, m_loop.now());
+    announceNews();
+}
+
+void gateway::logQuarantineChanges()
+{
+    for (const auto &[held, isHeld, reason] : m_quarantine.takeChanges()) {
+        m_log.write(isHeld ? event_number::prompt_held : event_number::prompt_freed,
+                    {{"service", held.service},
+                     {"parts", hexadecimalList(held.parts)},
+                     {"reason", reason},
+                     {"crashes", std::to_string(held.crashes)},
+                     {"held_for_ms", milliseconds(held.age)},
+                     {"trial_in_ms", milliseconds(held.untilTrial)}});
+    }
+}
+
+void gateway::announceNews()
+{
+    logQuarantineChanges();
+    const bool hasNews = m_streams.hasNews(m_loop.now()) || m_quarantine.hasNews();
+    if (m_peers == nullptr || m_isAnnouncementScheduled || !hasNews) {
         return;
     }
     m_isAnnouncementScheduled = true;
@@ -205,6 +234,8 @@
         logRateLimitChange(m_log, change, {.key = "peer", .value = toString(from)});
     }
     m_streams.onPeerDigest(message.streams, m_loop.now());
+    m_quarantine.onPeerDigest(message.quarantine, m_loop.now());
+    logQuarantineChanges();
     m_context.onCapacityFreed();
     m_hasPeerMessage = true;
     m_newestPeerVersion = std::max(m_newestPeerVersion, message.declarationsVersion);
@@ -229,6 +260,7 @@
     m_counters.addGauge("endpoints_listed", [this] { return static_cast<double>(m_roster.size()); });
     m_counters.addGauge("endpoints_with_rate_limit", [this] { return static_cast<double>(m_planner.rateLimits().limitedEndpoints()); });
     m_counters.addGauge("known_streams", [this] { return static_cast<double>(m_streams.knownStreams()); });
+    m_counters.addGauge("held_prompts", [this] { return static_cast<double>(m_quarantine.heldCombinations()); });
     m_counters.addGauge("sharing_entries", [this] { return static_cast<double>(m_planner.sharingEntries(m_loop.now())); });
     m_counters.addGauge("live_entries", [this] { return static_cast<double>(m_planner.liveEntries(m_loop.now())); });
     m_counters.addGauge("declarations_version", [this] { return static_cast<double>(declarationsVersion()); });
@@ -243,6 +275,7 @@
             .isLeaving = m_leavingSince.has_value(),
             .load = m_planner.digest(m_loop.now()),
             .streams = m_streams.digest(m_loop.now()),
+            .quarantine = m_quarantine.digest(m_loop.now()),
             .logEpoch = m_endpointsFollower.epoch()};
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -74,8 +74,10 @@
     [[nodiscard]] entry_message composeMessage();
     void listen();
     void startPeerExchange();
-    /// Tells peers of this entry's streams at the end of this iteration of the loop, if they have not been told.
-    void announceStreams();
+    /// Tells peers of this entry's streams and of changes of the quarantine at the end of this iteration of the loop, if they have not been told.
+    void announceNews();
+    void onEndpointCrash(const endpoint_crash &crash);
+    void logQuarantineChanges();
     void onPeerMessage(const socket_address &from, const entry_message &message);
     void addGauges();
 
@@ -85,6 +87,7 @@
     endpoint_roster m_roster;
     placement_planner m_planner;
     stream_versions m_streams;
+    prompt_quarantine m_quarantine;
     endpoint_pool m_pool;
     endpoint_crash_watch m_crashes;
     metrics m_counters;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "dispatch/placement.h"
+#include "dispatch/prompt_quarantine.h"
 #include "dispatch/retry_allowance.h"
 #include "dispatch/stream_versions.h"
 #include "dispatch/waiting_line.h"
@@ -46,6 +47,7 @@
     endpoint_roster &roster;
     placement_planner &planner;
     stream_versions &streams;
+    prompt_quarantine &quarantine;
     endpoint_pool &pool;
     endpoint_crash_watch &crashes;
     metrics &counters;
@@ -56,8 +58,9 @@
     /// Endpoints whose unusable limits were logged, and when.
     std::map<std::string, time_point> unusableLimitReports;
     admission_queue queue;
-    /// Called before the connection of a caller is closed that may take its stream up at another entry.
-    std::function<void()> onStreamCut = [] {};
+    /// Called when peers have to be told something at once: a stream that its caller may take up at another entry is cut, or the quarantine of
+    /// prompts has changed.
+    std::function<void()> onNewsForPeers = [] {};
     bool isQueueRunScheduled = false;
     timer_id queueTimer = 0;
     /// Bytes of the bodies of open requests, and their limit.
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -27,8 +27,16 @@
 using packed_streams = std::tuple<std::string, std::string, std::vector<std::tuple<std::uint64_t, std::int64_t>>>;
 /// Service, software version, and the milliseconds since it was last listed.
 using packed_version = std::tuple<std::string, std::string, std::int64_t>;
-/// The last members are the epoch of the log, the limits of endpoints, the demand by service, begun streams and software versions. Entries of
-/// earlier versions skip them.
+/// Attempt and parts of a request that a crash accuses.
+using packed_accused = std::tuple<std::uint64_t, std::vector<std::uint64_t>>;
+/// Service, endpoint, age in milliseconds and the accused requests.
+using packed_crash = std::tuple<std::string, std::uint64_t, std::int64_t, std::vector<packed_accused>>;
+/// Service, part and age in milliseconds.
+using packed_acquittal = std::tuple<std::string, std::uint64_t, std::int64_t>;
+/// Service, parts, crashes, age and time until a trial in milliseconds.
+using packed_held = std::tuple<std::string, std::vector<std::uint64_t>, int, std::int64_t, std::int64_t>;
+/// The last members are the epoch of the log, the limits of endpoints, the demand by service, begun streams, software versions, and crashes,
+/// acquittals and held parts of prompts. Entries of earlier versions skip them.
 using packed_message = std::tuple<int,
                                   std::int64_t,
                                   bool,
@@ -40,7 +48,10 @@
                                   std::vector<packed_rate_limit>,
                                   std::vector<packed_rate>,
                                   std::vector<packed_streams>,
-                                  std::vector<packed_version>>;
+                                  std::vector<packed_version>,
+                                  std::vector<packed_crash>,
+                                  std::vector<packed_acquittal>,
+                                  std::vector<packed_held>>;
 
 /// Returns the tokens of each rank without trailing zeros.
 std::vector<std::int64_t> packRanks(const ranked_tokens &tokens)
@@ -144,6 +155,65 @@
     return versions;
 }
 
+std::vector<packed_crash> packCrashes(const std::vector<crash_report> &crashes)
+{
+    std::vector<packed_crash> packed;
+    for (const auto &crash : crashes) {
+        std::vector<packed_accused> accused;
+        for (const auto &request : crash.accused) {
+            accused.emplace_back(request.attempt, std::vector<std::uint64_t>(request.parts.begin(), request.parts.end()));
+        }
+        packed.emplace_back(crash.service, crash.endpoint, packMilliseconds(crash.age), accused);
+    }
+    return packed;
+}
+
+std::vector<packed_acquittal> packAcquittals(const std::vector<acquittal> &acquittals)
+{
+    std::vector<packed_acquittal> packed;
+    for (const auto &[service, part, age] : acquittals) {
+        packed.emplace_back(service, part, packMilliseconds(age));
+    }
+    return packed;
+}
+
+std::vector<packed_held> packHeld(const std::vector<held_parts> &held)
+{
+    std::vector<packed_held> packed;
+    for (const auto &each : held) {
+        packed.emplace_back(each.service,
+                            std::vector<std::uint64_t>(each.parts.begin(), each.parts.end()),
+                            each.crashes,
+                            packMilliseconds(each.age),
+                            packMilliseconds(each.untilTrial));
+    }
+    return packed;
+}
+
+quarantine_digest
+unpackQuarantine(const std::vector<packed_crash> &crashes, const std::vector<packed_acquittal> &acquittals, const std::vector<packed_held> &held)
+{
+    quarantine_digest digest;
+    for (const auto &[service, endpoint, age, accused] : crashes) {
+        crash_report crash{.service = service, .endpoint = endpoint, .age = unpackMilliseconds(age)};
+        for (const auto &[attempt, parts] : accused) {
+            crash.accused.push_back({.attempt = attempt, .parts = {parts.begin(), parts.end()}});
+        }
+        digest.crashes.push_back(std::move(crash));
+    }
+    for (const auto &[service, part, age] : acquittals) {
+        digest.acquittals.push_back({.service = service, .part = part, .age = unpackMilliseconds(age)});
+    }
+    for (const auto &[service, parts, crashCount, age, untilTrial] : held) {
+        digest.held.push_back({.service = service,
+                               .parts = {parts.begin(), parts.end()},
+                               .crashes = notNegative(crashCount),
+                               .age = unpackMilliseconds(age),
+                               .untilTrial = unpackMilliseconds(untilTrial)});
+    }
+    return digest;
+}
+
 std::vector<rate_limit_notice> unpackRateLimits(const std::vector<packed_rate_limit> &packed)
 {
     std::vector<rate_limit_notice> notices;
@@ -198,7 +268,10 @@
                                  packRateLimits(limits.notices),
                                  demand,
                                  packStreams(message.streams.begun),
-                                 packVersions(message.streams.versions)});
+                                 packVersions(message.streams.versions),
+                                 packCrashes(message.quarantine.crashes),
+                                 packAcquittals(message.quarantine.acquittals),
+                                 packHeld(message.quarantine.held)});
     return {buffer.data(), buffer.size()};
 }
 
@@ -206,7 +279,7 @@
 {
     try {
         const auto handle = unpackBounded(bytes);
-        const auto [format, version, isLeaving, loads, rates, placements, peers, logEpoch, rateLimits, demand, streams, versions] =
+        const auto [format, version, isLeaving, loads, rates, placements, peers, logEpoch, rateLimits, demand, streams, versions, crashes, acquittals, held] =
             handle.get().as<packed_message>();
         if (format != formatVersion) {
             throw shunt_error(error_kind::malformed_frame,
@@ -232,6 +305,7 @@
             message.load.rateLimits.demand[service] = notNegative(rate);
         }
         message.streams = {.begun = unpackStreams(streams), .versions = unpackVersions(versions)};
+        message.quarantine = unpackQuarantine(crashes, acquittals, held);
         for (const auto &[ip, port] : peers) {
             message.peers.push_back({.ip = ip, .port = port});
         }
@@ -295,7 +369,7 @@
         return;
     }
     auto message = m_compose();
-    if (message.load == load_digest{} && message.streams.begun.empty() && sinceLast < m_options.idlePeriod) {
+    if (message.load == load_digest{} && message.streams.begun.empty() && message.quarantine == quarantine_digest{} && sinceLast < m_options.idlePeriod) {
         return;
     }
     send(std::move(message), peers);
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "dispatch/placement.h"
+#include "dispatch/prompt_quarantine.h"
 #include "dispatch/stream_versions.h"
 #include "gateway/event_log.h"
 #include "net/datagram_socket.h"
@@ -27,6 +28,7 @@
     bool isLeaving = false;
     load_digest load;
     stream_digest streams;
+    quarantine_digest quarantine;
     /// Highest epoch of the log that the sender has seen; 0 if it has seen none.
     std::int64_t logEpoch = 0;
     /// Other entries from which the sender has received a message recently.
--- a/src/gateway/request_answers.cpp
+++ b/src/gateway/request_answers.cpp
@@ -99,7 +99,7 @@
     const auto caller = std::exchange(m_caller, nullptr);
     finish(event_number::request_cut, std::string(reason));
     if (m_origin) {
-        m_context.onStreamCut();
+        m_context.onNewsForPeers();
     }
     if (caller != nullptr) {
         caller->abort();
@@ -130,6 +130,7 @@
                          {"workspace", m_workspace.empty() ? "-" : m_workspace},
                          {"rank", std::to_string(m_rank)},
                          {"reason", reason},
+                         {"parts", reason == answerFor(error_kind::prompt_quarantined).name ? hexadecimalList(m_sharedParts) : "-"},
                          {"framing", std::string(event == event_number::request_answered ? toString(m_head.framing) : "-")},
                          {"last_event", m_events.hasPartial() ? "unfinished" : "whole"},
                          {"endpoint", m_placementRequest.excluded.empty() ? "-" : m_placementRequest.excluded.back()},
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -21,6 +21,9 @@
 
 constexpr int firstServerError = 500;
 
+/// An endpoint that has answered for this long does not crash from beginning the answer.
+constexpr std::chrono::milliseconds minAnswered{500};
+
 /// A request may be queued for its first-byte target divided by this, which is 75 ms of 600 ms. Queueing for half of the target serves
 /// fewer requests on time, and an earlier refusal lets the caller retry sooner.
 constexpr int queueTimeDivisor = 8;
@@ -31,14 +34,24 @@
     return status < firstRedirect;
 }
 
-/// Returns the different IDs of all parts but the last, which belongs to the request itself or to its session.
-std::vector<std::uint64_t> sharedParts(const std::vector<prompt_part> &prompt)
+error_kind errorOf(placement_refusal refusal)
+{
+    switch (refusal) {
+    case placement_refusal::overloaded:
+        return error_kind::overloaded;
+    case placement_refusal::quarantined:
+        return error_kind::prompt_quarantined;
+    default:
+        return error_kind::no_endpoint;
+    }
+}
+
+/// Returns the IDs of all parts but the last, which belongs to the request itself or to its session.
+part_set sharedParts(const std::vector<prompt_part> &prompt)
 {
-    std::vector<std::uint64_t> ids;
+    part_set ids;
     for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
-        if (std::find(ids.begin(), ids.end(), prompt[i].id) == ids.end()) {
-            ids.push_back(prompt[i].id);
-        }
+        ids.insert(prompt[i].id);
     }
     return ids;
 }
@@ -170,8 +183,22 @@
     return timeLeft() / timeLeftDivisor;
 }
 
+std::optional<placement_decision> request_session::heldDecision() const
+{
+    const auto now = m_context.loop.now();
+    if (!m_placementRequest.hasPrompt || m_context.quarantine.check(m_service, m_sharedParts, now) != quarantine_verdict::held) {
+        return std::nullopt;
+    }
+    constexpr std::chrono::seconds minRetryAfter{1};
+    return placement_decision{.refusal = placement_refusal::quarantined,
+                              .retryAfter = std::max<duration>(minRetryAfter, m_context.quarantine.untilTrial(m_service, m_sharedParts, now))};
+}
+
 placement_decision request_session::place()
 {
+    if (const auto held = heldDecision()) {
+        return *held;
+    }
     m_placementRequest.maxFirstByteWait = maxFirstByteWait();
     m_placementRequest.firstByteTarget = std::max(duration{}, m_route->firstByteTarget - (m_context.loop.now() - m_arrival));
     return m_context.planner.place(m_placementRequest, m_context.loop.now());
@@ -179,6 +206,10 @@
 
 void request_session::dispatch()
 {
+    if (const auto held = heldDecision()) {
+        refuseUnplaced(*held);
+        return;
+    }
     const bool hasWaiting = m_context.queue.hasWaiting(m_service, m_rank);
     const bool mustQueue = hasWaiting && m_placementRequest.hasPrompt && m_context.planner.isLongPrompt(m_placementRequest);
     m_placementRequest.mayUsePermits = !hasWaiting;
@@ -256,8 +287,18 @@
     } else if (m_mayHaveRun) {
         refuse(error_kind::upstream_failed, defaultRetryAfter);
     } else {
-        refuse(decision.refusal == placement_refusal::overloaded ? error_kind::overloaded : error_kind::no_endpoint, decision.retryAfter);
+        refuse(errorOf(decision.refusal), decision.retryAfter);
+    }
+}
+
+void request_session::tryHeldParts()
+{
+    if (!m_placementRequest.hasPrompt || m_context.quarantine.check(m_service, m_sharedParts, m_sentAt) != quarantine_verdict::trial) {
+        return;
     }
+    m_context.quarantine.onTrial(m_service, m_sharedParts, m_sentAt);
+    m_context.log.write(event_number::prompt_tried, {{"request", m_metadata.attemptId}, {"parts", hexadecimalList(m_sharedParts)}});
+    m_context.onNewsForPeers();
 }
 
 std::string request_session::buildRequest(const listed_endpoint &endpoint) const
@@ -284,11 +325,13 @@
     m_placed = placed;
     m_sentAt = m_context.loop.now();
     m_hasFirstByte = false;
+    m_hasAcquitted = false;
     m_head = {};
     m_response = {};
     m_body.clear();
     ++m_sentAttempts;
     m_placementRequest.excluded.push_back(placed.endpoint->record.id);
+    tryHeldParts();
     m_context.planner.onSent(m_placementRequest, placed, m_sentAt);
     const auto load = m_context.planner.loadOf(placed.endpoint->record.id, m_sentAt);
     m_context.log.write(event_number::attempt_started,
@@ -381,6 +424,9 @@
         m_firstByteAt = m_context.loop.now();
         m_context.planner.onFirstByte(*m_placed, m_context.loop.now() - m_sentAt, m_context.loop.now());
     }
+    if (m_hasFirstByte && m_context.loop.now() - m_firstByteAt >= minAnswered) {
+        acquitParts();
+    }
     if (!isStreamSuccess()) {
         m_body.append(bytes);
     } else if (m_caller != nullptr) {
@@ -420,6 +466,9 @@
     const bool didNotRun = m_response.didNotRun;
     const bool isServerError = m_head.status >= firstServerError;
     m_mayHaveRun = m_mayHaveRun || !didNotRun;
+    if (m_hasFirstByte) {
+        acquitParts();
+    }
     releaseEndpoint(didNotRun ? endpoint_outcome::did_not_run : isServerError ? endpoint_outcome::failed : endpoint_outcome::answered);
     if (m_caller == nullptr) {
         finish(event_number::request_cut, "caller_left");
@@ -493,6 +542,7 @@
             .failedConnects = m_failedConnects,
             .hasForwarded = m_hasForwarded,
             .mayHaveRun = m_mayHaveRun,
+            .mayCrashEndpoints = !m_hasForwarded && m_placementRequest.hasPrompt && !m_context.quarantine.mayRepeat(m_service, m_sharedParts),
             .hasTime = timeLeft() > minAttemptTime};
 }
 
@@ -543,10 +593,18 @@
     m_placed.reset();
 }
 
+void request_session::acquitParts()
+{
+    if (m_hasAcquitted || !m_placementRequest.hasPrompt || !isSuccess(m_head.status)) {
+        return;
+    }
+    m_hasAcquitted = true;
+    m_context.quarantine.onAnswered(m_service, m_sharedParts, m_context.loop.now());
+    m_context.onNewsForPeers();
+}
+
 void request_session::reportUnbegun()
 {
-    // An endpoint that has answered for this long does not crash from beginning the answer.
-    constexpr std::chrono::milliseconds minAnswered{500};
     if (m_placed && m_placementRequest.hasPrompt && (!m_hasFirstByte || m_context.loop.now() - m_firstByteAt < minAnswered)) {
         m_context.crashes.onBroken(m_placed->endpoint, {.attemptId = m_metadata.attemptId, .parts = m_sharedParts});
     }
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -47,6 +47,8 @@
     void leaveQueue();
     void refuseUnplaced(const placement_decision &decision);
     void send(const placement &placed);
+    /// Tells the quarantine and the peers if the attempt that is about to be sent is the trial of held parts.
+    void tryHeldParts();
     [[nodiscard]] std::string buildRequest(const listed_endpoint &endpoint) const;
 
     [[nodiscard]] bool onHead(http_response_head &head);
@@ -71,6 +73,10 @@
     void releaseEndpoint(endpoint_outcome outcome);
     /// Abandons the running attempt, if there is one, and closes its connection.
     void dropAttempt();
+    /// Reports that the parts of the prompt do not crash the endpoint, once for each attempt.
+    void acquitParts();
+    /// Returns the refusal if the request's prompt is held.
+    [[nodiscard]] std::optional<placement_decision> heldDecision() const;
     /// Reports the attempt to the watch for crashes if its endpoint had not begun to answer it, or only just.
     void reportUnbegun();
     /// Reports the attempt as broken to the endpoint's health if the endpoint has not begun to answer for a long time.
@@ -102,7 +108,9 @@
 
     placement_request m_placementRequest;
     /// IDs of the parts of the prompt that other requests may share.
-    std::vector<std::uint64_t> m_sharedParts;
+    part_set m_sharedParts;
+    /// Whether an answer to the current attempt has shown that the parts crash no endpoint.
+    bool m_hasAcquitted = false;
     std::optional<admission_queue::ticket> m_ticket;
     timer_id m_queueTimer = 0;
     /// Tries the queue again when an endpoint that limits its requests per second has a permit.
--- /dev/null
+++ b/test/prompt_quarantine_test.cpp
@@ -0,0 +1,280 @@
+// Tests which prompts one entry holds for crashes of endpoints.
+#include "dispatch/prompt_quarantine.h"
+
+#include <gtest/gtest.h>
+
+namespace wisteriashunt
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string service = "model";
+constexpr std::uint64_t popularPart = 1;
+constexpr std::uint64_t deadlyPart = 2;
+constexpr std::uint64_t companionPart = 3;
+
+class prompt_quarantine_test : public ::testing::Test
+{
+protected:
+    /// A crash of a further endpoint under one request with these parts, after others were answered.
+    void crashUnder(const part_set &parts, std::uint64_t attempt = 0)
+    {
+        m_now += seconds(1);
+        answerOthers();
+        m_quarantine.onCrash(report({{.attempt = attempt == 0 ? ++m_attempts : attempt, .parts = parts}}), m_now);
+    }
+
+    void answerOthers()
+    {
+        for (int i = 0; i < 5; ++i) {
+            m_quarantine.onAnswered(service, {popularPart}, m_now);
+        }
+        m_now += milliseconds(1);
+    }
+
+    crash_report report(std::vector<accused_request> accused)
+    {
+        return {.service = service, .endpoint = ++m_endpoints, .accused = std::move(accused)};
+    }
+
+    quarantine_verdict check(const part_set &parts) const
+    {
+        return m_quarantine.check(service, parts, m_now);
+    }
+
+    void holdDeadlyPart()
+    {
+        for (int i = 0; i < 3; ++i) {
+            crashUnder({popularPart, deadlyPart});
+        }
+    }
+
+    time_point m_now{seconds(1000)};
+    prompt_quarantine m_quarantine;
+    std::uint64_t m_attempts = 0;
+    std::uint64_t m_endpoints = 0;
+};
+
+TEST_F(prompt_quarantine_test, HoldsThePartThatThreeSeparateCrashesAccuse)
+{
+    crashUnder({popularPart, deadlyPart});
+    crashUnder({popularPart, deadlyPart});
+    EXPECT_EQ(check({popularPart, deadlyPart}), quarantine_verdict::free) << "two crashes";
+    crashUnder({popularPart, deadlyPart});
+    EXPECT_EQ(check({popularPart, deadlyPart}), quarantine_verdict::held) << "three crashes";
+    EXPECT_EQ(check({popularPart, companionPart}), quarantine_verdict::free);
+}
+
+TEST_F(prompt_quarantine_test, DoesNotHoldForCrashesOfManyEndpointsAtOnce)
+{
+    answerOthers();
+    for (int i = 0; i < 10; ++i) {
+        m_quarantine.onCrash(report({{.attempt = ++m_attempts, .parts = {deadlyPart}}}), m_now + milliseconds(i));
+    }
+    EXPECT_EQ(check({deadlyPart}), quarantine_verdict::free);
+}
+
+TEST_F(prompt_quarantine_test, DoesNotHoldForOneRequestThatIsRepeated)
+{
+    for (int i = 0; i < 4; ++i) {
+        crashUnder({deadlyPart}, 7);
+    }
+    EXPECT_EQ(check({deadlyPart}), quarantine_verdict::free);
+}
+
+TEST_F(prompt_quarantine_test, DoesNotHoldWhileTheServiceAnswersNothing)
+{
+    for (int i = 0; i < 10; ++i) {
+        m_now += seconds(1);
+        m_quarantine.onCrash(report({{.attempt = ++m_attempts, .parts = {popularPart}}}), m_now);
+    }
+    EXPECT_EQ(check({popularPart}), quarantine_verdict::free);
+}
+
+TEST_F(prompt_quarantine_test, AnAnswerAcquitsItsParts)
+{
+    crashUnder({deadlyPart});
+    crashUnder({deadlyPart});
+    m_quarantine.onAnswered(service, {deadlyPart}, m_now);
+    crashUnder({deadlyPart});
+    crashUnder({deadlyPart});
+    EXPECT_EQ(check({deadlyPart}), quarantine_verdict::free);
+}
+
+TEST_F(prompt_quarantine_test, AnAnswerOfAnotherServiceAcquitsNothing)
+{
+    holdDeadlyPart();
+    m_quarantine.onAnswered("other", {deadlyPart}, m_now);
+    EXPECT_EQ(check({deadlyPart}), quarantine_verdict::held);
+    EXPECT_EQ(m_quarantine.check("other", {deadlyPart}, m_now), quarantine_verdict::free);
+}
+
+TEST_F(prompt_quarantine_test, HoldsPartsThatTheSameCrashesAccuseOnlyTogether)
+{
+    for (int i = 0; i < 3; ++i) {
+        crashUnder({deadlyPart, companionPart});
+    }
+    EXPECT_EQ(check({deadlyPart, companionPart}), quarantine_verdict::held);
+    EXPECT_EQ(check({companionPart}), quarantine_verdict::free);
+    m_quarantine.onAnswered(service, {companionPart}, m_now);
+    EXPECT_EQ(check({deadlyPart}), quarantine_verdict::held) << "the companion was answered";
+}
+
+TEST_F(prompt_quarantine_test, AFurtherCrashTellsPartsApart)
+{
+    for (int i = 0; i < 3; ++i) {
+        crashUnder({deadlyPart, companionPart});
+    }
+    crashUnder({deadlyPart});
+    EXPECT_EQ(check({deadlyPart}), quarantine_verdict::held);
+    EXPECT_EQ(check({companionPart}), quarantine_verdict::free);
+}
+
+TEST_F(prompt_quarantine_test, CrashesUnderHeldPartsDoNotAccuseOthers)
+{
+    holdDeadlyPart();
+    constexpr std::uint64_t besidePart = 9;
+    for (int i = 0; i < 5; ++i) {
+        m_now += seconds(1);
+        answerOthers();
+        m_quarantine.onCrash(report({{.attempt = ++m_attempts, .parts = {deadlyPart}}, {.attempt = ++m_attempts, .parts = {besidePart}}}), m_now);
+    }
+    EXPECT_EQ(check({besidePart}), quarantine_verdict::free);
+    EXPECT_TRUE(m_quarantine.mayRepeat(service, {besidePart}));
+}
+
+TEST_F(prompt_quarantine_test, HoldsTwoDeadlyPartsApart)
+{
+    constexpr std::uint64_t secondDeadlyPart = 8;
+    for (int i = 0; i < 3; ++i) {
+        crashUnder({popularPart, deadlyPart});
+        crashUnder({popularPart, secondDeadlyPart});
+    }
+    EXPECT_EQ(check({deadlyPart}), quarantine_verdict::held);
+    EXPECT_EQ(check({secondDeadlyPart}), quarantine_verdict::held);
+    EXPECT_EQ(m_quarantine.heldCombinations(), 2U);
+}
+
+TEST_F(prompt_quarantine_test, DoesNotRepeatARequestAfterTwoSeparateCrashes)
+{
+    crashUnder({deadlyPart});
+    EXPECT_TRUE(m_quarantine.mayRepeat(service, {deadlyPart}));
+    crashUnder({deadlyPart});
+    EXPECT_FALSE(m_quarantine.mayRepeat(service, {deadlyPart}));
+    EXPECT_EQ(check({deadlyPart}), quarantine_verdict::free) << "a new request may still be sent";
+}
+
+TEST_F(prompt_quarantine_test, TriesOneRequestAndFreesItsPartsWhenItIsAnswered)
+{
+    holdDeadlyPart();
+    EXPECT_EQ(m_quarantine.untilTrial(service, {deadlyPart}, m_now), prompt_quarantine_options{}.firstTrialAfter);
+    m_now += prompt_quarantine_options{}.firstTrialAfter;
+    EXPECT_EQ(check({deadlyPart}), quarantine_verdict::trial);
+    m_quarantine.onTrial(service, {deadlyPart}, m_now);
+    EXPECT_EQ(check({deadlyPart}), quarantine_verdict::held) << "one trial at a time";
+    m_quarantine.onAnswered(service, {deadlyPart}, m_now);
+    EXPECT_EQ(check({deadlyPart}), quarantine_verdict::free);
+}
+
+TEST_F(prompt_quarantine_test, WaitsLongerAfterEachTrialThatCrashesAnEndpoint)
+{
+    const prompt_quarantine_options options;
+    holdDeadlyPart();
+    duration expected = options.trialPause;
+    for (int trial = 0; trial < 2; ++trial) {
+        m_now += m_quarantine.untilTrial(service, {deadlyPart}, m_now);
+        m_quarantine.onTrial(service, {deadlyPart}, m_now);
+        m_quarantine.onCrash(report({{.attempt = ++m_attempts, .parts = {deadlyPart}}}), m_now += milliseconds(100));
+        expected *= options.trialBackoff;
+        EXPECT_EQ(m_quarantine.untilTrial(service, {deadlyPart}, m_now), expected) << "after trial " << trial;
+    }
+}
+
+TEST_F(prompt_quarantine_test, TriesAgainWhenATrialHasNoResult)
+{
+    holdDeadlyPart();
+    m_now += prompt_quarantine_options{}.firstTrialAfter;
+    m_quarantine.onTrial(service, {deadlyPart}, m_now);
+    m_now += prompt_quarantine_options{}.trialTimeout;
+    EXPECT_EQ(check({deadlyPart}), quarantine_verdict::trial);
+}
+
+TEST_F(prompt_quarantine_test, ForgetsCrashesAfterAWhile)
+{
+    crashUnder({deadlyPart});
+    crashUnder({deadlyPart});
+    m_now += prompt_quarantine_options{}.memory;
+    crashUnder({deadlyPart});
+    EXPECT_EQ(check({deadlyPart}), quarantine_verdict::free);
+}
+
+TEST_F(prompt_quarantine_test, TellsPeersOfCrashesAcquittalsAndHeldParts)
+{
+    holdDeadlyPart();
+    EXPECT_TRUE(m_quarantine.hasNews());
+    const auto told = m_quarantine.digest(m_now);
+    EXPECT_FALSE(m_quarantine.hasNews());
+    prompt_quarantine peer;
+    peer.onPeerDigest(told, m_now);
+    EXPECT_EQ(peer.check(service, {deadlyPart}, m_now), quarantine_verdict::held);
+    peer.onAnswered(service, {deadlyPart}, m_now + milliseconds(1));
+    m_quarantine.onPeerDigest(peer.digest(m_now + milliseconds(2)), m_now + milliseconds(2));
+    EXPECT_EQ(check({deadlyPart}), quarantine_verdict::free);
+}
+
+TEST_F(prompt_quarantine_test, AnEntryThatHasJustStartedLearnsOfHeldPartsFromAPeer)
+{
+    holdDeadlyPart();
+    for (int i = 0; i < 20; ++i) {
+        static_cast<void>(m_quarantine.digest(m_now));
+    }
+    m_now += prompt_quarantine_options{}.heldPeriod;
+    prompt_quarantine restarted;
+    restarted.onPeerDigest(m_quarantine.digest(m_now), m_now);
+    EXPECT_EQ(restarted.check(service, {deadlyPart}, m_now), quarantine_verdict::held);
+}
+
+TEST_F(prompt_quarantine_test, ALateDigestDoesNotHoldWhatWasAnsweredSince)
+{
+    holdDeadlyPart();
+    const auto late = m_quarantine.digest(m_now);
+    m_now += seconds(1);
+    m_quarantine.onAnswered(service, {deadlyPart}, m_now);
+    auto aged = late;
+    for (auto &held : aged.held) {
+        held.age += seconds(1) + milliseconds(5);
+    }
+    m_quarantine.onPeerDigest(aged, m_now + milliseconds(5));
+    EXPECT_EQ(check({deadlyPart}), quarantine_verdict::free);
+}
+
+TEST_F(prompt_quarantine_test, CountsACrashThatSeveralEntriesSawOnce)
+{
+    answerOthers();
+    const auto seen = report({{.attempt = 1, .parts = {deadlyPart}}});
+    m_quarantine.onCrash(seen, m_now);
+    for (int peer = 0; peer < 5; ++peer) {
+        m_now += seconds(1);
+        auto told = seen;
+        told.age = seconds(peer + 1);
+        told.accused.front().attempt = static_cast<std::uint64_t>(10 + peer);
+        m_quarantine.onPeerDigest({.crashes = {told}}, m_now);
+    }
+    EXPECT_TRUE(m_quarantine.mayRepeat(service, {deadlyPart}));
+}
+
+TEST_F(prompt_quarantine_test, KeepsNoMoreThanItsLimits)
+{
+    for (std::uint64_t part = 100; part < 1100; ++part) {
+        for (int i = 0; i < 3; ++i) {
+            crashUnder({part});
+        }
+    }
+    EXPECT_LE(m_quarantine.heldCombinations(), prompt_quarantine_options{}.maxHeld);
+}
+
+} // namespace
+} // namespace wisteriashunt
