Weigh accusations of prompt parts by how often other requests break

Now the number of requests that must accuse a part follows from the share of requests that break without it, one more separate crash is needed for each twelve meanwhile, and a part that was never answered can be held while the service answers nothing.

Two deadly parts are judged part by part, as the rule is.

--- a/src/dispatch/prompt_quarantine.cpp
+++ b/src/dispatch/prompt_quarantine.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/prompt_quarantine.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace wisteriashunt
@@ -77,6 +78,16 @@
     });
 }
 
+bool prompt_quarantine::isExplained(const service_state &state, const known_crash &crash, std::uint64_t part)
+{
+    return std::any_of(state.held.begin(), state.held.end(), [&](const auto &held) {
+        const auto &combination = held.first;
+        return !combination.contains(part) && std::any_of(crash.accused.begin(), crash.accused.end(), [&combination](const accused_request &request) {
+            return isSubset(combination, request.parts);
+        });
+    });
+}
+
 std::set<std::uint64_t> prompt_quarantine::unexplainedCrashes(const service_state &state, std::uint64_t part)
 {
     std::set<std::uint64_t> crashes;
@@ -85,12 +96,7 @@
         return crashes;
     }
     for (const auto &[crashKey, attempts] : accused->second) {
-        const auto &requests = state.crashes.at(crashKey).accused;
-        const bool isExplained = std::any_of(state.held.begin(), state.held.end(), [&](const auto &held) {
-            return !held.first.contains(part)
-                && std::any_of(requests.begin(), requests.end(), [&](const accused_request &request) { return isSubset(held.first, request.parts); });
-        });
-        if (!isExplained) {
+        if (!isExplained(state, state.crashes.at(crashKey), part)) {
             crashes.insert(crashKey);
         }
     }
@@ -115,19 +121,45 @@
     return count;
 }
 
+std::size_t prompt_quarantine::requestsNeeded(const service_state &state, std::uint64_t part, time_point since, std::uint64_t answersSince) const
+{
+    // Requests that broke beside one with the part say nothing about how often others break without it.
+    std::size_t otherBroken = 0;
+    for (const auto &[key, crash] : state.crashes) {
+        const bool hasPart =
+            std::any_of(crash.accused.begin(), crash.accused.end(), [part](const accused_request &request) { return request.parts.contains(part); });
+        otherBroken += crash.at >= since && !hasPart && !isExplained(state, crash, part) ? crash.ownAccused.size() : 0;
+    }
+    // Rule of succession: the share of broken requests, starting from one broken and one answered.
+    const double brokenShare = static_cast<double>(otherBroken + 1) / static_cast<double>(otherBroken + answersSince + 2);
+    const double needed = std::log(m_options.accidentProbability) / std::log(brokenShare);
+    return std::max(m_options.requestsToHold, static_cast<std::size_t>(std::ceil(needed)));
+}
+
 bool prompt_quarantine::isGuilty(const service_state &state, std::uint64_t part, const std::set<std::uint64_t> &crashes) const
 {
-    if (countSeparate(state, crashes) < m_options.crashesToHold) {
+    if (crashes.size() < m_options.crashesToHold) {
         return false;
     }
     std::set<std::uint64_t> attempts;
     std::uint64_t answersBefore = state.answers;
+    time_point first = time_point::max();
     for (const auto key : crashes) {
         const auto &accusing = state.accused.at(part).at(key);
+        const auto &crash = state.crashes.at(key);
         attempts.insert(accusing.begin(), accusing.end());
-        answersBefore = std::min(answersBefore, state.crashes.at(key).answersBefore);
-    }
-    return attempts.size() >= m_options.requestsToHold && state.answers - answersBefore >= m_options.answersToHold;
+        answersBefore = std::min(answersBefore, crash.answersBefore);
+        first = std::min(first, crash.at);
+    }
+    const auto meanwhile = static_cast<std::size_t>(std::count_if(
+        state.crashes.begin(), state.crashes.end(), [&](const auto &crash) { return crash.second.at >= first && !isExplained(state, crash.second, part); }));
+    const bool areEnough = countSeparate(state, crashes) >= m_options.crashesToHold + meanwhile / m_options.crashesPerFurtherOne;
+    const bool isServiceAnswering = state.answers - answersBefore >= m_options.answersToHold;
+    const bool isOnlyUnanswered = lastAnswered(state.answered, part) == time_point{} && state.answers >= m_options.answersToKnowService;
+    const bool areNoAccidents = attempts.size() >= requestsNeeded(state, part, first, state.answers - answersBefore);
+    const bool isMainSuspect =
+        isOnlyUnanswered && attempts.size() >= m_options.requestsOfMainSuspect && crashes.size() * m_options.crashesPerCrashOfMainSuspect >= meanwhile;
+    return areEnough && ((areNoAccidents && (isServiceAnswering || isOnlyUnanswered)) || isMainSuspect);
 }
 
 prompt_quarantine::known_crash &prompt_quarantine::addCrash(service_state &state, const crash_report &crash, time_point now)
@@ -197,6 +229,10 @@
         std::set<std::uint64_t> mostCrashes;
         part_set guilty;
         for (const auto part : parts) {
+            const auto accused = state.accused.find(part);
+            if (accused == state.accused.end() || accused->second.size() < m_options.crashesToHold) {
+                continue;
+            }
             const auto crashes = unexplainedCrashes(state, part);
             if (state.held.contains({part}) || !isGuilty(state, part, crashes) || crashes.size() < mostCrashes.size()) {
                 continue;
--- a/src/dispatch/prompt_quarantine.h
+++ b/src/dispatch/prompt_quarantine.h
@@ -84,13 +84,24 @@
 {
     /// Crashes within this time of each other count as one: endpoints that fail together have a common cause of another kind.
     duration crashSeparation = std::chrono::milliseconds(100);
-    /// Separate crashes after which an accused part is held.
+    /// Separate crashes after which an accused part is held, if no others come meanwhile.
     std::size_t crashesToHold = 3;
-    /// Different requests with the part that must have been there.
+    /// One more crash has to accuse the part for each of so many crashes of the service meanwhile: among many crashes, some accuse a part by
+    /// accident.
+    std::size_t crashesPerFurtherOne = 12;
+    /// Different requests with the part that must have been there, at least. Where other requests break as well, as many are needed as make
+    /// it this unlikely that all of them broke by accident.
     std::size_t requestsToHold = 2;
+    double accidentProbability = 1e-4;
     /// Requests of the service that must have been answered here since the first of these crashes. A service that answers nothing does not fail
-    /// because of one part.
+    /// because of one part, unless that part was never answered and others were.
     std::uint64_t answersToHold = 5;
+    /// A part that was never answered is also held if so many requests accuse it and it was there in one of so many crashes. While endpoints crash
+    /// faster than they come back, most requests break by accident.
+    std::size_t requestsOfMainSuspect = 6;
+    std::size_t crashesPerCrashOfMainSuspect = 3;
+    /// Requests of the service that must ever have been answered here for a part to count as never answered.
+    std::uint64_t answersToKnowService = 20;
     /// Separate crashes after which a request with an accused part is not sent a second time.
     std::size_t crashesToStopRepeats = 2;
     /// Time for which crashes are remembered.
@@ -210,9 +221,13 @@
     };
 
     [[nodiscard]] std::vector<const held_state *> heldWithin(const std::string &service, const part_set &parts) const;
+    /// Returns whether the crash came under a request with held parts, of which this part is none.
+    [[nodiscard]] static bool isExplained(const service_state &state, const known_crash &crash, std::uint64_t part);
     /// Returns the crashes that accuse the part and that held parts do not explain.
     [[nodiscard]] static std::set<std::uint64_t> unexplainedCrashes(const service_state &state, std::uint64_t part);
     [[nodiscard]] std::size_t countSeparate(const service_state &state, const std::set<std::uint64_t> &crashes) const;
+    /// Returns the number of requests that have to accuse the part, by how many others broke without it and were answered here since then.
+    [[nodiscard]] std::size_t requestsNeeded(const service_state &state, std::uint64_t part, time_point since, std::uint64_t answersSince) const;
     [[nodiscard]] bool isGuilty(const service_state &state, std::uint64_t part, const std::set<std::uint64_t> &crashes) const;
     known_crash &addCrash(service_state &state, const crash_report &crash, time_point now);
     void noteCrashUnderHeld(service_state &state, std::uint64_t crashKey, time_point now);
