Bound the bytes that endpoints and callers can send without completing a message

Callers would wait until their deadline, and the entry's memory grew with each byte of a plain body or of an event.

All bytes before a body, and those in a row that frame a chunked body, are counted, whatever the parser makes of them. The endpoint counts as broken, the request is sent again where it may be, and attempt_ended names the reason. One channel reads at most eight buffers in a row, so that others keep their turn.

--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -108,6 +108,11 @@
     m_resumedAfter = m_lastEvent;
 }
 
+std::size_t event_splitter::partialBytes() const
+{
+    return m_buffer.size() - m_returnedBytes;
+}
+
 bool event_splitter::hasPartial() const
 {
     return m_boundary.isInsideEvent();
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -35,6 +35,9 @@
     /// Whether the bytes so far end within an event.
     [[nodiscard]] bool hasPartial() const;
 
+    /// Bytes of the unfinished event.
+    [[nodiscard]] std::size_t partialBytes() const;
+
 private:
     std::string m_buffer;
     std::size_t m_returnedBytes = 0;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -63,9 +63,12 @@
     std::function<void()> onNewsForPeers = [] {};
     bool isQueueRunScheduled = false;
     timer_id queueTimer = 0;
-    /// Bytes of the bodies of open requests, and their limit.
+    /// Bytes of the bodies of open requests and of answers that are not streams, and their limit.
     std::size_t bodyBytes = 0;
     std::size_t maxBodyBytes = 0;
+    /// Most bytes of one answer that is no stream, and of one event.
+    std::size_t maxAnswerBytes = 16 * 1024 * 1024;
+    std::size_t maxEventBytes = 1024 * 1024;
     /// Number of sessions that exist.
     std::size_t openSessions = 0;
     /// True once gateway_settings::acceptWhileLeaving has passed after SIGTERM. New requests are refused, because too little of the grace
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -71,7 +71,7 @@
 request_session::~request_session()
 {
     --m_context.openSessions;
-    m_context.bodyBytes -= m_request.body.size();
+    m_context.bodyBytes -= m_request.body.size() + m_body.size();
 }
 
 std::optional<error_kind> request_session::admit()
@@ -328,6 +328,7 @@
     m_hasAcquitted = false;
     m_head = {};
     m_response = {};
+    m_context.bodyBytes -= m_body.size();
     m_body.clear();
     ++m_sentAttempts;
     m_placementRequest.excluded.push_back(placed.endpoint->record.id);
@@ -428,9 +429,19 @@
         acquitParts();
     }
     if (!isStreamSuccess()) {
+        m_context.bodyBytes += bytes.size();
         m_body.append(bytes);
+        if (m_body.size() > m_context.maxAnswerBytes || m_context.bodyBytes > m_context.maxBodyBytes) {
+            m_exchange->close();
+            onBroken("answer_too_large", toString(m_head.framing));
+        }
     } else if (m_caller != nullptr) {
         forwardEvents(isEventStream() ? m_events.feed(bytes) : bytes);
+        if (m_events.partialBytes() > m_context.maxEventBytes) {
+            m_exchange->close();
+            onBroken("event_too_large", toString(m_head.framing));
+            return;
+        }
         if (m_events.isOutOfOrder()) {
             dropAttempt();
             cut("resumed_out_of_order");
@@ -460,6 +471,7 @@
 void request_session::onComplete()
 {
     if (const auto reason = breakOfCompleteAnswer()) {
+        reportUnbegun();
         onBroken(*reason, toString(m_head.framing));
         return;
     }
@@ -501,7 +513,6 @@
 void request_session::onBroken(std::string_view reason, std::string_view end)
 {
     logAttemptEnd(reason, end);
-    reportUnbegun();
     m_mayHaveRun = true;
     releaseEndpoint(endpoint_outcome::broken);
     if (m_caller == nullptr) {
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -57,7 +57,7 @@
     void onBody(std::string_view bytes);
     void onComplete();
     void onFailure(exchange_failure failure, close_reason end);
-    /// Ends an attempt whose answer was framed as complete and is not.
+    /// Ends an attempt whose answer was framed as complete and is not, or is too large.
     void onBroken(std::string_view reason, std::string_view end);
     void logAttemptEnd(std::string_view reason, std::string_view end);
     void onTimeout();
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -9,9 +9,15 @@
 namespace
 {
 
-/// Limit on response heads. Endpoints send well under 1 kB.
+/// Limit on what comes before the body of a response: blank lines, interim responses and the head. Endpoints send well under 1 kB.
 constexpr std::size_t maxResponseHeadBytes = 64 * 1024;
 
+/// Limit on bytes in a row that frame a chunked body and carry none of it, such as the extension of a chunk or trailers.
+constexpr std::size_t maxFramingBytes = 16 * 1024;
+
+/// The separators of fields and blank lines may add as much to a request's head as its limit, which does not count them, and this.
+constexpr std::size_t headSeparatorBytes = 4 * 1024;
+
 /// Raises the library's limit on heads to 16 MiB, so that the configured limit applies first.
 const bool libraryLimitRaised = [] {
     http_parser_set_max_header_size(16 * 1024 * 1024);
@@ -111,9 +117,11 @@
     m_parser.data = this;
     m_request = {};
     m_headBytes = 0;
+    m_unframedBytes = 0;
     m_fault = read_fault::none;
     m_lastWasValue = true;
     m_hasBegun = false;
+    m_isHeadComplete = false;
     m_isComplete = false;
     m_wantsContinue = false;
 }
@@ -157,6 +165,8 @@
 int request_reader::onHeadersComplete(http_parser *parser)
 {
     auto &reader = self(parser);
+    reader.m_isHeadComplete = true;
+    reader.m_unframedBytes = 0;
     auto &request = reader.m_request;
     request.method = http_method_str(static_cast<http_method>(parser->method));
     request.isHttp10 = parser->http_major == 1 && parser->http_minor == 0;
@@ -190,6 +200,7 @@
         return 1;
     }
     reader.m_request.body.append(at, length);
+    reader.m_unframedBytes = 0;
     return 0;
 }
 
@@ -221,6 +232,11 @@
     if (error != HPE_OK && error != HPE_PAUSED && m_fault == read_fault::none) {
         m_fault = read_fault::malformed;
     }
+    m_unframedBytes += consumed;
+    const std::size_t limit = m_isHeadComplete ? maxFramingBytes + bytes.size() : 2 * m_bounds.headBytes + headSeparatorBytes;
+    if (!m_isComplete && m_fault == read_fault::none && m_unframedBytes > limit) {
+        m_fault = m_isHeadComplete ? read_fault::malformed : read_fault::head_too_large;
+    }
     // A parser that pauses at the end of a message has consumed the bytes up to that end.
     return m_isComplete && error == HPE_PAUSED ? std::min(bytes.size(), consumed) : consumed;
 }
@@ -275,8 +291,10 @@
     m_head = {};
     m_headBytes = 0;
     m_lastWasValue = true;
+    m_unframedBytes = 0;
     m_isMalformed = false;
     m_isInterim = false;
+    m_isHeadComplete = false;
     m_isComplete = false;
 }
 
@@ -321,12 +339,15 @@
     reader.m_head.status = static_cast<int>(parser->status_code);
     reader.m_head.keepsAlive = http_should_keep_alive(parser) != 0;
     reader.m_head.framing = framingOf(*parser);
+    reader.m_isHeadComplete = true;
+    reader.m_unframedBytes = 0;
     reader.m_hooks.onHead(reader.m_head);
     return 0;
 }
 
 int response_reader::onBody(http_parser *parser, const char *at, std::size_t length)
 {
+    self(parser).m_unframedBytes = 0;
     self(parser).m_hooks.onBody(std::string_view(at, length));
     return 0;
 }
@@ -361,7 +382,9 @@
     }
     const std::size_t consumed = http_parser_execute(&m_parser, &callbacks(), bytes.data(), bytes.size());
     const auto error = HTTP_PARSER_ERRNO(&m_parser);
-    m_isMalformed = !m_isComplete && (error != HPE_OK || m_parser.upgrade != 0);
+    m_unframedBytes += consumed;
+    const std::size_t limit = m_isHeadComplete ? maxFramingBytes + bytes.size() : maxResponseHeadBytes;
+    m_isMalformed = !m_isComplete && (error != HPE_OK || m_parser.upgrade != 0 || m_unframedBytes > limit);
     if (m_isComplete) {
         m_hooks.onComplete();
     }
--- a/src/http/message_reader.h
+++ b/src/http/message_reader.h
@@ -66,9 +66,12 @@
     request_bounds m_bounds;
     received_request m_request;
     std::size_t m_headBytes = 0;
+    /// Bytes since the start of the head, or since the last ones of the body.
+    std::size_t m_unframedBytes = 0;
     read_fault m_fault = read_fault::none;
     bool m_lastWasValue = true;
     bool m_hasBegun = false;
+    bool m_isHeadComplete = false;
     bool m_isComplete = false;
     bool m_wantsContinue = false;
 };
@@ -114,9 +117,12 @@
     http_parser m_parser{};
     http_response_head m_head;
     std::size_t m_headBytes = 0;
+    /// Bytes since the end of the last response, or since the last ones of the body.
+    std::size_t m_unframedBytes = 0;
     bool m_lastWasValue = true;
     bool m_isMalformed = false;
     bool m_isInterim = false;
+    bool m_isHeadComplete = false;
     bool m_isComplete = false;
 };
 
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -9,6 +9,10 @@
 namespace
 {
 
+/// Limits on responses to other requests that are skipped, after which the connection is given up.
+constexpr std::size_t maxSkippedBytes = 1024 * 1024;
+constexpr int maxSkippedResponses = 16;
+
 /// Returns N seconds from "timeout=N" of a Keep-Alive field; zero if there is none.
 duration announcedIdleTimeout(const header_list &headers)
 {
@@ -41,12 +45,7 @@
 upstream_connection::upstream_connection(event_loop &loop)
     : m_loop(loop)
     , m_reader({.onHead = [this](http_response_head &head) { onHead(head); },
-                .onBody =
-                    [this](std::string_view bytes) {
-                        if (!m_skipsResponse && m_hooks.onBody) {
-                            m_hooks.onBody(bytes);
-                        }
-                    },
+                .onBody = [this](std::string_view bytes) { onBody(bytes); },
                 .onComplete = [this] { onComplete(); }})
     , m_idleSince(loop.now())
 {
@@ -150,7 +149,7 @@
     }
     while (m_isBusy && !bytes.empty()) {
         const std::size_t consumed = m_reader.feed(bytes);
-        if (m_reader.isMalformed()) {
+        if (m_reader.isMalformed() || m_skippedBytes > maxSkippedBytes || m_skippedResponses > maxSkippedResponses) {
             fail(exchange_failure::malformed, close_reason::closed_by_peer);
             return;
         }
@@ -176,6 +175,17 @@
     m_hasSkippedResponse = m_hasSkippedResponse || m_skipsResponse;
 }
 
+void upstream_connection::onBody(std::string_view bytes)
+{
+    if (!m_skipsResponse) {
+        if (m_hooks.onBody) {
+            m_hooks.onBody(bytes);
+        }
+        return;
+    }
+    m_skippedBytes += bytes.size();
+}
+
 void upstream_connection::onComplete()
 {
     // A hook may have abandoned the exchange while the rest of the same bytes is still being parsed.
@@ -184,6 +194,7 @@
     }
     if (m_skipsResponse) {
         m_skipsResponse = false;
+        ++m_skippedResponses;
         m_reader.reset();
         return;
     }
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -67,6 +67,7 @@
     void onBytes(std::string_view bytes);
     void onClosed(close_reason reason);
     void onHead(http_response_head &head);
+    void onBody(std::string_view bytes);
     void onComplete();
     void fail(exchange_failure failure, close_reason reason);
 
@@ -81,6 +82,8 @@
     bool m_isReusable = true;
     bool m_skipsResponse = false;
     bool m_hasSkippedResponse = false;
+    std::size_t m_skippedBytes = 0;
+    int m_skippedResponses = 0;
 };
 
 } // namespace wisteriashunt
--- a/src/net/byte_channel.cpp
+++ b/src/net/byte_channel.cpp
@@ -23,6 +23,9 @@
 /// Read buffer size. Most requests (about 18 kB) fit into one read.
 constexpr std::size_t readBufferBytes = 32 * 1024;
 
+/// Reads of one channel in a row, so that a peer that sends without pause does not keep the others waiting.
+constexpr int maxReadsPerWakeUp = 8;
+
 /// Connections that may wait to be accepted. Covers a burst of a few hundred callers.
 constexpr int listenBacklog = 1024;
 
@@ -315,7 +318,7 @@
 {
     // Shared by all channels of the thread, so hooks must copy what they keep before they return.
     thread_local std::array<char, readBufferBytes> buffer;
-    while (m_descriptor >= 0 && m_isReading) {
+    for (int reads = 0; m_descriptor >= 0 && m_isReading && reads < maxReadsPerWakeUp; ++reads) {
         const ssize_t count = recv(m_descriptor, buffer.data(), buffer.size(), 0);
         if (count > 0) {
             m_hooks.onBytes(std::string_view(buffer.data(), static_cast<std::size_t>(count)));
--- a/test/loopback_server.cpp
+++ b/test/loopback_server.cpp
@@ -2,6 +2,7 @@
 
 #include "http/message_reader.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <cstdlib>
@@ -99,6 +100,11 @@
     return m_requests;
 }
 
+std::size_t loopback_server::sentBytes() const
+{
+    return m_sentBytes;
+}
+
 void loopback_server::crash(std::chrono::milliseconds downtime)
 {
     int up = 0;
@@ -178,15 +184,17 @@
             return false;
         }
     }
-    for (std::size_t i = 0; i < answer.parts.size(); ++i) {
+    for (std::size_t i = 0; i < answer.parts.size() || (answer.isEndless && !m_isStopping); ++i) {
         if (i > 0) {
             std::this_thread::sleep_for(answer.pause);
         }
-        const auto &part = answer.parts[i];
-        if (isPeerClosed() || ::send(descriptor, part.data(), part.size(), MSG_NOSIGNAL) < 0) {
+        const auto &part = answer.parts[std::min(i, answer.parts.size() - 1)];
+        const ssize_t sent = isPeerClosed() ? -1 : ::send(descriptor, part.data(), part.size(), MSG_NOSIGNAL);
+        if (sent < 0) {
             ++m_abandonedConnections;
             return false;
         }
+        m_sentBytes += static_cast<std::size_t>(sent);
     }
     if (answer.resets) {
         const linger resetOnClose{.l_onoff = 1, .l_linger = 0};
@@ -254,6 +262,12 @@
     return answer;
 }
 
+bool raw_caller::hasAnswer() const
+{
+    pollfd watched{.fd = m_descriptor, .events = POLLIN, .revents = 0};
+    return poll(&watched, 1, 1) > 0;
+}
+
 bool raw_caller::readMore()
 {
     std::array<char, 65536> buffer{};
--- a/test/loopback_server.h
+++ b/test/loopback_server.h
@@ -20,6 +20,8 @@
     std::vector<std::string> parts;
     /// Pause before each part except the first.
     std::chrono::milliseconds pause{0};
+    /// Writes the last part again and again until the client closes the connection.
+    bool isEndless = false;
     /// Closes the connection after the last part.
     bool closes = false;
     /// Resets the connection after the last part.
@@ -46,6 +48,8 @@
     void crash(std::chrono::milliseconds downtime);
     /// Number of connections that the client closed before the response was complete.
     [[nodiscard]] int abandonedConnections() const;
+    /// Bytes of all responses that were handed to the kernel.
+    [[nodiscard]] std::size_t sentBytes() const;
 
 private:
     void acceptAll();
@@ -59,6 +63,7 @@
     /// Milliseconds for which the server is down; 0 while it listens.
     std::atomic<int> m_downtime{0};
     std::atomic<int> m_abandonedConnections{0};
+    std::atomic<std::size_t> m_sentBytes{0};
     mutable std::mutex m_mutex;
     std::vector<received_request> m_requests;
     std::vector<int> m_descriptors;
@@ -85,6 +90,8 @@
     std::string readResponse();
     void close();
 
+    /// Whether bytes have arrived, or the connection has closed, within a millisecond.
+    [[nodiscard]] bool hasAnswer() const;
     /// Whether a read found that the connection was reset.
     [[nodiscard]] bool wasReset() const
     {
