Bound the answers of the log and of peers

The same cause elsewhere: an answer of the log or of a peer without end grew in memory until its time was over (126 MB a read at 0.5 MB a millisecond, more than some instances have). endless_log_test.IsReadUpToABound failed before and passes: 16 MiB an answer, whose pages the log ends at 1 MB; then the call fails as with any other fault.

--- a/src/gateway/log_follower.cpp
+++ b/src/gateway/log_follower.cpp
@@ -121,7 +121,15 @@
                                 *head = received;
                                 return true;
                             },
-                        .onBody = [body](std::string_view bytes) { body->append(bytes); },
+                        .onBody =
+                            [this, body](std::string_view bytes) {
+                                body->append(bytes);
+                                if (body->size() > m_options.maxAnswerBytes) {
+                                    m_loop.cancel(m_timeout);
+                                    m_connection->close();
+                                    fail("answer_too_large");
+                                }
+                            },
                         .onComplete =
                             [this, asked, head, body] {
                                 m_loop.cancel(m_timeout);
--- a/src/gateway/log_follower.h
+++ b/src/gateway/log_follower.h
@@ -30,6 +30,8 @@
     duration maxBackoff = std::chrono::milliseconds(800);
     /// Pause before the topic is read anew in a higher epoch. Differs between entries, so that not all read at once.
     duration rereadDelay{};
+    /// Most bytes of one answer. The log ends its pages at 1 MB.
+    std::size_t maxAnswerBytes = 16 * 1024 * 1024;
     topic_rules rules;
 };
 
--- a/src/gateway/peer_records.cpp
+++ b/src/gateway/peer_records.cpp
@@ -134,7 +134,13 @@
                                     *status = head.status;
                                     return true;
                                 },
-                            .onBody = [body](std::string_view bytes) { body->append(bytes); },
+                            .onBody =
+                                [this, body, fail](std::string_view bytes) {
+                                    body->append(bytes);
+                                    if (body->size() > m_options.maxAnswerBytes) {
+                                        fail("answer_too_large");
+                                    }
+                                },
                             .onComplete =
                                 [&follower, status, body, end, fail] {
                                     if (*status != okStatus) {
--- a/src/gateway/peer_records.h
+++ b/src/gateway/peer_records.h
@@ -31,6 +31,8 @@
     /// Time between two calls for the same topic.
     duration period = std::chrono::milliseconds(500);
     duration timeout = std::chrono::milliseconds(600);
+    /// Most bytes of the records of one topic.
+    std::size_t maxAnswerBytes = 16 * 1024 * 1024;
 };
 
 /// Serves the records of the followers, and fetches newer ones from peers while the log does not answer or a peer is ahead.
--- a/test/endless_bytes_test.cpp
+++ b/test/endless_bytes_test.cpp
@@ -72,6 +72,21 @@
                                                "AnswerToAnotherRequest", "/talk/", "", "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n"}),
                          [](const auto &tested) { return std::string(tested.param.name); });
 
+using endless_log_test = gateway_test;
+
+TEST_F(endless_log_test, IsReadUpToABound)
+{
+    loopback_server log([](const received_request &) {
+        return scripted_response{.parts = {"HTTP/1.1 200 OK\r\n\r\n", kilobytes(512)}, .pause = milliseconds(1), .isEndless = true};
+    });
+    launch(settingsForTests(m_ports, log.port()));
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    constexpr std::size_t maxBytesPerRead = 32'000'000;
+    const auto reads = log.requests().size();
+    ASSERT_GT(reads, 0U);
+    EXPECT_LT(log.sentBytes() / reads, maxBytesPerRead) << reads << " reads";
+}
+
 /// Bytes that a caller sends without end.
 struct endless_request
 {
