Bound an unfinished event in the endpoint process of wisteriashuntd

The same cause elsewhere: the splitter of streams kept an event without end in memory; only plain answers had a bound. An event larger than that bound now fails the attempt. Shown by reading and by sse_splitter_test.CountsTheBytesOfTheUnfinishedEvent only: no test sends such an event through the daemon.

--- a/src/daemon/sse_splitter.cpp
+++ b/src/daemon/sse_splitter.cpp
@@ -31,6 +31,11 @@
     return parsed.is_discarded() || !parsed.is_object() || parsed.value("id", nlohmann::json()) != m_expectedId;
 }
 
+std::size_t sse_splitter::partialBytes() const
+{
+    return m_partialEvent.size();
+}
+
 sse_batch sse_splitter::feed(std::string_view bytes)
 {
     m_partialEvent.append(bytes);
--- a/src/daemon/sse_splitter.h
+++ b/src/daemon/sse_splitter.h
@@ -30,6 +30,9 @@
     /// Returns the events that these bytes complete.
     [[nodiscard]] sse_batch feed(std::string_view bytes);
 
+    /// Bytes of the unfinished event.
+    [[nodiscard]] std::size_t partialBytes() const;
+
 private:
     [[nodiscard]] bool hasWrongId(std::string_view event) const;
 
--- a/src/daemon/upstream_client.cpp
+++ b/src/daemon/upstream_client.cpp
@@ -77,6 +77,10 @@
             self->hasWrongId = true;
             return 0;
         }
+        self->isTooLarge = self->splitter.partialBytes() > self->owner->m_options.maxAnswerBytes;
+        if (self->isTooLarge) {
+            return 0;
+        }
         self->isDone = self->isDone || batch.isDone;
         if (batch.events > 0) {
             self->owner->m_options.deliver(upstream_chunk{.id = self->request.id, .events = batch.events, .data = std::move(batch.data)});
--- a/test/sse_splitter_test.cpp
+++ b/test/sse_splitter_test.cpp
@@ -31,5 +31,12 @@
     EXPECT_TRUE(splitter.feed("data: {broken\n\n").hasWrongId);
 }
 
+TEST(sse_splitter_test, CountsTheBytesOfTheUnfinishedEvent)
+{
+    sse_splitter splitter("");
+    static_cast<void>(splitter.feed("data: 1\n\ndata: 2"));
+    EXPECT_EQ(splitter.partialBytes(), 7U);
+}
+
 } // namespace
 } // namespace wisteriashunt
