Play streams without length in the soak

After the planned restarts, one stream in five ends with its connection, and every other one of these is broken off within an event. Against the entry of this fails (42 streams 'ended after event 6, expected 12 events'); against this one it passes.

Answers are compared without the framing of chunks, since a stream without length may arrive in other pieces; events, their order and the end are checked as before.

--- a/test/entry_soak_test.cpp
+++ b/test/entry_soak_test.cpp
@@ -75,16 +75,19 @@
     {
         return kind == "talk" || kind == "draft";
     }
+    /// Bytes of the body, without the framing of chunks.
     [[nodiscard]] std::string body() const
     {
-        const auto head = answer.find("\r\n\r\n");
-        return head == std::string::npos ? "" : answer.substr(head + 4);
+        std::string bytes;
+        response_reader reader({.onHead = [](http_response_head &) {}, .onBody = [&](std::string_view part) { bytes.append(part); }, .onComplete = [] {}});
+        static_cast<void>(reader.feed(answer));
+        return bytes;
     }
     /// Number of the last whole event; resumedAfter if there is none.
     [[nodiscard]] int lastEvent() const
     {
         const auto text = body();
-        const auto end = text.rfind("\n\n\r\n");
+        const auto end = text.rfind("\n\n");
         const auto begin = end == std::string::npos ? end : text.rfind("id: ", end);
         return begin == std::string::npos ? resumedAfter : std::stoi(text.substr(begin + 4));
     }
@@ -325,14 +328,35 @@
         }
         const auto version = versionOf(*findHeader(got.headers, "x-expect-instance"));
         const auto *after = findHeader(got.headers, "last-event-id");
+        const int first = after == nullptr ? 1 : std::stoi(*after) + 1;
+        constexpr int unframedInterval = 5;
+        if (!m_isBeforeFaults && m_served % unframedInterval == 0) {
+            return streamWithoutLength(okHead(got) + limit, attempt, version, first);
+        }
         scripted_response stream{.parts = {okHead(got) + limit + "Transfer-Encoding: chunked\r\n\r\n"}, .pause = std::chrono::milliseconds(8)};
-        for (int number = after == nullptr ? 1 : std::stoi(*after) + 1; number <= eventsInStream; ++number) {
+        for (int number = first; number <= eventsInStream; ++number) {
             stream.parts.push_back(chunk(eventOf(attempt, version, number)));
         }
         stream.parts.emplace_back(lastChunk);
         return stream;
     }
 
+    /// A stream that ends with its connection; every other one is broken off within an event.
+    scripted_response streamWithoutLength(const std::string &head, const std::string &attempt, const std::string &version, int first)
+    {
+        const bool isBrokenOff = ++m_unframed % 2 == 0;
+        scripted_response stream{.parts = {head + "\r\n"}, .pause = std::chrono::milliseconds(8), .closes = true};
+        for (int number = first; number <= eventsInStream; ++number) {
+            const auto event = eventOf(attempt, version, number);
+            if (isBrokenOff && number == (first + eventsInStream) / 2) {
+                stream.parts.push_back(event.substr(0, event.size() - 1));
+                break;
+            }
+            stream.parts.push_back(event);
+        }
+        return stream;
+    }
+
     /// Sends the request of the outcome and reads its answer.
     static void send(raw_caller &caller, outcome &result)
     {
@@ -404,6 +428,7 @@
 
     std::array<std::atomic<bool>, entries> m_isInRotation{};
     std::atomic<int> m_served{0};
+    std::atomic<int> m_unframed{0};
     mutable std::mutex m_mutex;
     std::vector<outcome> m_outcomes;
     std::vector<std::thread> m_threads;
@@ -430,9 +455,8 @@
     const auto version = got.version.empty() ? got.firstVersion() : got.version;
     int number = got.resumedAfter + 1;
     while (number <= eventsInStream && body.size() > expected.size()) {
-        expected += chunk(eventOf(got.attempt, version, number++));
+        expected += eventOf(got.attempt, version, number++);
     }
-    expected += got.isWhole() ? lastChunk : "";
     EXPECT_TRUE(expected.starts_with(body)) << what << " expected its own events in order, by software version " << version << ", found: " << body;
     EXPECT_TRUE(!got.isWhole() || number == eventsInStream + 1) << what << " ended after event " << number - 1 << ", expected " << eventsInStream << " events";
 }
