Let endpoints of the broken-answer tests announce that they close after a complete answer

The test failed in 6 of about 25 runs beside load, always in 'cut after all bytes, reset' byte by byte. Endpoints now send Connection: close with such answers; what is checked is as before. Also formats a header.

--- a/src/net/byte_channel.h
+++ b/src/net/byte_channel.h
@@ -5,8 +5,8 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <netinet/in.h>
+#include <optional>
 #include <string>
 #include <string_view>
 
--- a/test/broken_answer_test.cpp
+++ b/test/broken_answer_test.cpp
@@ -83,6 +83,10 @@
     if (broken.cut == cut_at::in_head) {
         return head;
     }
+    if (broken.cut == cut_at::after_all_bytes) {
+        // The entry would keep the connection, and its end could cross the next request.
+        head += "Connection: close\r\n";
+    }
     switch (broken.framed) {
     case framing::length:
         return head + "Content-Length: " + std::to_string(wholeStream.size()) + "\r\n\r\n" + body;
