--- a/src/dispatch/prompt_quarantine.cpp
+++ b/src/dispatch/prompt_quarantine.cpp
@@ -70,7 +70,7 @@
 bool prompt_quarantine::mayRepeat(const std::string &service, const part_set &parts) const
 {
     const auto state = m_services.find(service);
-    if (state == m_services.end() || state->second.accused.empty()) {
+    if (state == m_services.end() || state->second.suspects.empty()) {
         return true;
     }
     return std::none_of(parts.begin(), parts.end(), [&](std::uint64_t part) {
@@ -82,7 +82,7 @@
 {
     return std::any_of(state.held.begin(), state.held.end(), [&](const auto &held) {
         const auto &combination = held.first;
-        return !combination.contains(part) && std::any_of(crash.accused.begin(), crash.accused.end(), [&combination](const accused_request &request) {
+        return !combination.contains(part) && std::any_of(crash.suspects.begin(), crash.suspects.end(), [&combination](const suspect_request &request) {
             return isSubset(combination, request.parts);
         });
     });
@@ -91,11 +91,11 @@
 std::set<std::uint64_t> prompt_quarantine::unexplainedCrashes(const service_state &state, std::uint64_t part)
 {
     std::set<std::uint64_t> crashes;
-    const auto accused = state.accused.find(part);
-    if (accused == state.accused.end()) {
+    const auto suspects = state.suspects.find(part);
+    if (suspects == state.suspects.end()) {
         return crashes;
     }
-    for (const auto &[crashKey, attempts] : accused->second) {
+    for (const auto &[crashKey, attempts] : suspects->second) {
         if (!isExplained(state, state.crashes.at(crashKey), part)) {
             crashes.insert(crashKey);
         }
@@ -127,8 +127,8 @@
     std::size_t otherBroken = 0;
     for (const auto &[key, crash] : state.crashes) {
         const bool hasPart =
-            std::any_of(crash.accused.begin(), crash.accused.end(), [part](const accused_request &request) { return request.parts.contains(part); });
-        otherBroken += crash.at >= since && !hasPart && !isExplained(state, crash, part) ? crash.ownAccused.size() : 0;
+            std::any_of(crash.suspects.begin(), crash.suspects.end(), [part](const suspect_request &request) { return request.parts.contains(part); });
+        otherBroken += crash.at >= since && !hasPart && !isExplained(state, crash, part) ? crash.ownSuspects.size() : 0;
     }
     // Rule of succession: the share of broken requests, starting from one broken and one answered.
     const double brokenShare = static_cast<double>(otherBroken + 1) / static_cast<double>(otherBroken + answersSince + 2);
@@ -136,7 +136,7 @@
     return std::max(m_options.requestsToHold, static_cast<std::size_t>(std::ceil(needed)));
 }
 
-bool prompt_quarantine::isGuilty(const service_state &state, std::uint64_t part, const std::set<std::uint64_t> &crashes) const
+bool prompt_quarantine::isLikelyCause(const service_state &state, std::uint64_t part, const std::set<std::uint64_t> &crashes) const
 {
     if (crashes.size() < m_options.crashesToHold) {
         return false;
@@ -145,9 +145,9 @@
     std::uint64_t answersBefore = state.answers;
     time_point first = time_point::max();
     for (const auto key : crashes) {
-        const auto &accusing = state.accused.at(part).at(key);
+        const auto &implicating = state.suspects.at(part).at(key);
         const auto &crash = state.crashes.at(key);
-        attempts.insert(accusing.begin(), accusing.end());
+        attempts.insert(implicating.begin(), implicating.end());
         answersBefore = std::min(answersBefore, crash.answersBefore);
         first = std::min(first, crash.at);
     }
@@ -171,14 +171,14 @@
         known = {.at = at, .answersBefore = state.answers};
     }
     known.at = std::min(known.at, at);
-    for (const auto &request : crash.accused) {
-        if (known.accused.size() >= m_options.maxAccusedRequests) {
+    for (const auto &request : crash.suspects) {
+        if (known.suspects.size() >= m_options.maxSuspectRequests) {
             break;
         }
-        known.accused.push_back(request);
+        known.suspects.push_back(request);
         for (const auto part : request.parts) {
             if (lastAnswered(state.answered, part) <= at) {
-                state.accused[part][crash.endpoint].insert(request.attempt);
+                state.suspects[part][crash.endpoint].insert(request.attempt);
             }
         }
     }
@@ -190,19 +190,19 @@
     auto &state = m_services[crash.service];
     forgetOutdated(crash.service, state, now);
     auto &known = addCrash(state, crash, now);
-    known.ownAccused.insert(known.ownAccused.end(), crash.accused.begin(), crash.accused.end());
+    known.ownSuspects.insert(known.ownSuspects.end(), crash.suspects.begin(), crash.suspects.end());
     known.repetitions = m_options.repetitions;
     m_hasNews = true;
     noteCrashUnderHeld(state, crash.endpoint, now);
-    holdGuilty(crash.service, state, known, now);
+    holdLikelyCauses(crash.service, state, known, now);
 }
 
 void prompt_quarantine::noteCrashUnderHeld(service_state &state, std::uint64_t crashKey, time_point now)
 {
-    const auto &requests = state.crashes.at(crashKey).accused;
+    const auto &requests = state.crashes.at(crashKey).suspects;
     for (auto &[combination, held] : state.held) {
         const auto &parts = combination;
-        const bool isUnder = std::any_of(requests.begin(), requests.end(), [&parts](const accused_request &request) { return isSubset(parts, request.parts); });
+        const bool isUnder = std::any_of(requests.begin(), requests.end(), [&parts](const suspect_request &request) { return isSubset(parts, request.parts); });
         const bool isLater = state.crashes.at(crashKey).at > held.heldAt;
         if (!isUnder || !isLater || !held.crashes.insert(crashKey).second) {
             continue;
@@ -218,37 +218,37 @@
     }
 }
 
-void prompt_quarantine::holdGuilty(const std::string &service, service_state &state, const known_crash &crash, time_point now)
+void prompt_quarantine::holdLikelyCauses(const std::string &service, service_state &state, const known_crash &crash, time_point now)
 {
     part_set parts;
-    for (const auto &request : crash.accused) {
+    for (const auto &request : crash.suspects) {
         parts.insert(request.parts.begin(), request.parts.end());
     }
     while (true) {
-        // The largest set of crashes goes first: once its parts are held, they explain crashes that accuse others as well.
+        // The largest set of crashes goes first: once its parts are held, they explain crashes that implicate others as well.
         std::set<std::uint64_t> mostCrashes;
-        part_set guilty;
+        part_set likelyCauses;
         for (const auto part : parts) {
-            const auto accused = state.accused.find(part);
-            if (accused == state.accused.end() || accused->second.size() < m_options.crashesToHold) {
+            const auto suspects = state.suspects.find(part);
+            if (suspects == state.suspects.end() || suspects->second.size() < m_options.crashesToHold) {
                 continue;
             }
             const auto crashes = unexplainedCrashes(state, part);
-            if (state.held.contains({part}) || !isGuilty(state, part, crashes) || crashes.size() < mostCrashes.size()) {
+            if (state.held.contains({part}) || !isLikelyCause(state, part, crashes) || crashes.size() < mostCrashes.size()) {
                 continue;
             }
             if (crashes != mostCrashes) {
-                guilty.clear();
+                likelyCauses.clear();
                 mostCrashes = crashes;
             }
-            guilty.insert(part);
+            likelyCauses.insert(part);
         }
-        if (guilty.empty() || state.held.contains(guilty)) {
+        if (likelyCauses.empty() || state.held.contains(likelyCauses)) {
             return;
         }
         const held_state held{
             .crashes = mostCrashes, .crashCount = static_cast<int>(mostCrashes.size()), .heldAt = now, .nextTrial = now + m_options.firstTrialAfter};
-        hold(service, state, guilty, held, "crashes", now);
+        hold(service, state, likelyCauses, held, "crashes", now);
     }
 }
 
@@ -284,21 +284,21 @@
     ++state.answers;
     for (const auto part : parts) {
         rememberAnswer(state.answered, part, now);
-        const bool isAccused =
-            state.accused.contains(part) || std::any_of(state.held.begin(), state.held.end(), [part](const auto &held) { return held.first.contains(part); });
-        if (isAccused) {
-            acquit(service, state, part, now, "answered", now);
-            tellAcquittal(state, part, now);
+        const bool isSuspected =
+            state.suspects.contains(part) || std::any_of(state.held.begin(), state.held.end(), [part](const auto &held) { return held.first.contains(part); });
+        if (isSuspected) {
+            clear(service, state, part, now, "answered", now);
+            tellClearance(state, part, now);
         }
     }
 }
 
-void prompt_quarantine::acquit(const std::string &service, service_state &state, std::uint64_t part, time_point at, std::string_view reason, time_point now)
+void prompt_quarantine::clear(const std::string &service, service_state &state, std::uint64_t part, time_point at, std::string_view reason, time_point now)
 {
-    if (const auto accused = state.accused.find(part); accused != state.accused.end()) {
-        std::erase_if(accused->second, [&](const auto &accusation) { return state.crashes.at(accusation.first).at <= at; });
-        if (accused->second.empty()) {
-            state.accused.erase(accused);
+    if (const auto suspects = state.suspects.find(part); suspects != state.suspects.end()) {
+        std::erase_if(suspects->second, [&](const auto &suspicion) { return state.crashes.at(suspicion.first).at <= at; });
+        if (suspects->second.empty()) {
+            state.suspects.erase(suspects);
         }
     }
     std::vector<part_set> combinations;
@@ -318,9 +318,9 @@
     }
 }
 
-void prompt_quarantine::tellAcquittal(service_state &state, std::uint64_t part, time_point at)
+void prompt_quarantine::tellClearance(service_state &state, std::uint64_t part, time_point at)
 {
-    state.acquittals[part] = {.at = at, .repetitions = m_options.repetitions};
+    state.clearances[part] = {.at = at, .repetitions = m_options.repetitions};
     m_hasNews = true;
 }
 
@@ -346,11 +346,11 @@
 
 void prompt_quarantine::forgetCrash(service_state &state, std::uint64_t crashKey)
 {
-    for (const auto &request : state.crashes.at(crashKey).accused) {
+    for (const auto &request : state.crashes.at(crashKey).suspects) {
         for (const auto part : request.parts) {
-            const auto accused = state.accused.find(part);
-            if (accused != state.accused.end() && accused->second.erase(crashKey) > 0 && accused->second.empty()) {
-                state.accused.erase(accused);
+            const auto suspects = state.suspects.find(part);
+            if (suspects != state.suspects.end() && suspects->second.erase(crashKey) > 0 && suspects->second.empty()) {
+                state.suspects.erase(suspects);
             }
         }
     }
@@ -392,15 +392,15 @@
         }
         for (auto &[key, crash] : state.crashes) {
             if (crash.repetitions > 0 && result.crashes.size() < m_options.maxCrashesInDigest) {
-                result.crashes.push_back({.service = service, .endpoint = key, .age = now - crash.at, .accused = crash.ownAccused});
+                result.crashes.push_back({.service = service, .endpoint = key, .age = now - crash.at, .suspects = crash.ownSuspects});
                 --crash.repetitions;
             }
         }
-        for (auto &[part, told] : state.acquittals) {
-            result.acquittals.push_back({.service = service, .part = part, .age = now - told.at});
+        for (auto &[part, told] : state.clearances) {
+            result.clearances.push_back({.service = service, .part = part, .age = now - told.at});
             --told.repetitions;
         }
-        std::erase_if(state.acquittals, [](const auto &told) { return told.second.repetitions <= 0; });
+        std::erase_if(state.clearances, [](const auto &told) { return told.second.repetitions <= 0; });
         for (const auto &[combination, held] : state.held) {
             if (tellsHeld) {
                 result.held.push_back({.service = service,
@@ -418,11 +418,11 @@
 
 void prompt_quarantine::onPeerDigest(const quarantine_digest &digest, time_point now)
 {
-    // Acquittals come first, so that the crashes of the same digest do not hold what its sender has acquitted since.
-    for (const auto &told : digest.acquittals) {
+    // Clearances come first, so that the crashes of the same digest do not hold what its sender has cleared since.
+    for (const auto &told : digest.clearances) {
         auto &state = m_services[told.service];
         rememberAnswer(state.answered, told.part, now - told.age);
-        acquit(told.service, state, told.part, now - told.age, "peer_answered", now);
+        clear(told.service, state, told.part, now - told.age, "peer_answered", now);
     }
     for (const auto &held : digest.held) {
         adopt(held, now);
@@ -436,14 +436,14 @@
         // The same report comes several times.
         auto unknown = crash;
         if (const auto known = state.crashes.find(crash.endpoint); known != state.crashes.end()) {
-            std::erase_if(unknown.accused, [&](const accused_request &request) {
-                const auto &accused = known->second.accused;
-                return std::find(accused.begin(), accused.end(), request) != accused.end();
+            std::erase_if(unknown.suspects, [&](const suspect_request &request) {
+                const auto &suspects = known->second.suspects;
+                return std::find(suspects.begin(), suspects.end(), request) != suspects.end();
             });
         }
         const auto &known = addCrash(state, unknown, now);
         noteCrashUnderHeld(state, crash.endpoint, now);
-        holdGuilty(crash.service, state, known, now);
+        holdLikelyCauses(crash.service, state, known, now);
     }
 }
 
@@ -456,7 +456,7 @@
         const auto answeredAt = lastAnswered(state.answered, part);
         if (answeredAt > heldAt) {
             parts.erase(part);
-            tellAcquittal(state, part, answeredAt);
+            tellClearance(state, part, answeredAt);
         }
     }
     if (parts.empty()) {
--- a/src/dispatch/prompt_quarantine.h
+++ b/src/dispatch/prompt_quarantine.h
@@ -1,9 +1,9 @@
 /// Learns which parts of prompts crash endpoints, and holds requests with them.
 ///
-/// One of the requests that an endpoint had not begun to answer when it crashed may be the cause. Each crash accuses all shared parts of these
-/// requests; a request that is answered acquits its parts. A part that is only popular is answered elsewhere between two crashes, so a part
-/// that is still accused after several crashes at different times, while other requests of the service are answered, is held. Parts that the
-/// same crashes accuse cannot be told apart: only requests with all of them are held. Entries tell each other of crashes, acquittals and held
+/// One of the requests that an endpoint had not begun to answer when it crashed may be the cause. Each crash implicates all shared parts of these
+/// requests; a request that is answered clears its parts. A part that is only popular is answered elsewhere between two crashes, so a part
+/// that is still suspected after several crashes at different times, while other requests of the service are answered, is held. Parts that the
+/// same crashes implicate cannot be told apart: only requests with all of them are held. Entries tell each other of crashes, clearances and held
 /// parts.
 #pragma once
 
@@ -24,13 +24,13 @@
 using part_set = std::set<std::uint64_t>;
 
 /// A request that an endpoint had not begun to answer when it crashed.
-struct accused_request
+struct suspect_request
 {
     /// Hash of the ID of the caller's attempt.
     std::uint64_t attempt = 0;
     part_set parts;
 
-    auto operator<=>(const accused_request &) const = default;
+    auto operator<=>(const suspect_request &) const = default;
 };
 
 /// A crash of one incarnation of an endpoint, as one entry saw it.
@@ -40,19 +40,19 @@
     /// Hash of the endpoint's ID and start.
     std::uint64_t endpoint = 0;
     duration age{};
-    std::vector<accused_request> accused;
+    std::vector<suspect_request> suspects;
 
     bool operator==(const crash_report &) const = default;
 };
 
-/// A part with which a request was answered although crashes had accused it.
-struct acquittal
+/// A part with which a request was answered although crashes implicated it.
+struct clearance
 {
     std::string service;
     std::uint64_t part = 0;
     duration age{};
 
-    bool operator==(const acquittal &) const = default;
+    bool operator==(const clearance &) const = default;
 };
 
 /// A held combination of parts. Requests with all of them are refused, except for one trial at a time.
@@ -73,7 +73,7 @@
 struct quarantine_digest
 {
     std::vector<crash_report> crashes;
-    std::vector<acquittal> acquittals;
+    std::vector<clearance> clearances;
     std::vector<held_parts> held;
 
     bool operator==(const quarantine_digest &) const = default;
@@ -84,9 +84,9 @@
 {
     /// Crashes within this time of each other count as one: endpoints that fail together have a common cause of another kind.
     duration crashSeparation = std::chrono::milliseconds(100);
-    /// Separate crashes after which an accused part is held, if no others come meanwhile.
+    /// Separate crashes after which a suspected part is held, if no others come meanwhile.
     std::size_t crashesToHold = 3;
-    /// One more crash has to accuse the part for each of so many crashes of the service meanwhile: among many crashes, some accuse a part by
+    /// One more crash has to implicate the part for each of so many crashes of the service meanwhile: among many crashes, some implicate a part by
     /// accident.
     std::size_t crashesPerFurtherOne = 12;
     /// Different requests with the part that must have been there, at least. Where other requests break as well, as many are needed as make
@@ -96,13 +96,13 @@
     /// Requests of the service that must have been answered here since the first of these crashes. A service that answers nothing does not fail
     /// because of one part, unless that part was never answered and others were.
     std::uint64_t answersToHold = 5;
-    /// A part that was never answered is also held if so many requests accuse it and it was there in one of so many crashes. While endpoints crash
+    /// A part that was never answered is also held if so many requests implicate it and it was there in one of so many crashes. While endpoints crash
     /// faster than they come back, most requests break by accident.
     std::size_t requestsOfMainSuspect = 6;
     std::size_t crashesPerCrashOfMainSuspect = 3;
     /// Requests of the service that must ever have been answered here for a part to count as never answered.
     std::uint64_t answersToKnowService = 20;
-    /// Separate crashes after which a request with an accused part is not sent a second time.
+    /// Separate crashes after which a request with a suspected part is not sent a second time.
     std::size_t crashesToStopRepeats = 2;
     /// Time for which crashes are remembered.
     duration memory = std::chrono::minutes(5);
@@ -115,13 +115,13 @@
     duration maxTrialPause = std::chrono::hours(1);
     /// Time after which a trial without result makes way for the next one.
     duration trialTimeout = std::chrono::seconds(5);
-    /// Digests that carry each crash and acquittal, in case one is lost.
+    /// Digests that carry each crash and clearance, in case one is lost.
     int repetitions = 3;
     /// Time between two digests that carry the held parts while nothing changes.
     duration heldPeriod = std::chrono::milliseconds(500);
     std::size_t maxCrashes = 128;
     std::size_t maxCrashesInDigest = 8;
-    std::size_t maxAccusedRequests = 64;
+    std::size_t maxSuspectRequests = 64;
     std::size_t maxHeld = 64;
     std::size_t maxRememberedAnswers = 16384;
 };
@@ -178,11 +178,11 @@
     struct known_crash
     {
         time_point at;
-        std::vector<accused_request> accused;
+        std::vector<suspect_request> suspects;
         /// Requests of the service that had been answered here when the crash was learnt of.
         std::uint64_t answersBefore = 0;
         /// What this entry saw, and the number of digests that are still to carry it.
-        std::vector<accused_request> ownAccused;
+        std::vector<suspect_request> ownSuspects;
         int repetitions = 0;
     };
     struct held_state
@@ -197,13 +197,13 @@
         /// Whether this entry has sent a trial that has no result yet.
         bool isTrialRunning = false;
     };
-    struct pending_acquittal
+    struct pending_clearance
     {
         time_point at;
         int repetitions = 0;
     };
-    /// Attempts that accuse a part, by crash.
-    using accusations = std::map<std::uint64_t, std::set<std::uint64_t>>;
+    /// Attempts that implicate a part, by crash.
+    using suspicions = std::map<std::uint64_t, std::set<std::uint64_t>>;
     /// Remembers when parts were last answered, for at least the last half of maxRememberedAnswers.
     struct answer_memory
     {
@@ -213,31 +213,31 @@
     struct service_state
     {
         std::map<std::uint64_t, known_crash> crashes;
-        std::unordered_map<std::uint64_t, accusations> accused;
+        std::unordered_map<std::uint64_t, suspicions> suspects;
         std::map<part_set, held_state> held;
         answer_memory answered;
         std::uint64_t answers = 0;
-        std::map<std::uint64_t, pending_acquittal> acquittals;
+        std::map<std::uint64_t, pending_clearance> clearances;
     };
 
     [[nodiscard]] std::vector<const held_state *> heldWithin(const std::string &service, const part_set &parts) const;
     /// Returns whether the crash came under a request with held parts, of which this part is none.
     [[nodiscard]] static bool isExplained(const service_state &state, const known_crash &crash, std::uint64_t part);
-    /// Returns the crashes that accuse the part and that held parts do not explain.
+    /// Returns the crashes that implicate the part and that held parts do not explain.
     [[nodiscard]] static std::set<std::uint64_t> unexplainedCrashes(const service_state &state, std::uint64_t part);
     [[nodiscard]] std::size_t countSeparate(const service_state &state, const std::set<std::uint64_t> &crashes) const;
-    /// Returns the number of requests that have to accuse the part, by how many others broke without it and were answered here since then.
+    /// Returns the number of requests that have to implicate the part, by how many others broke without it and were answered here since then.
     [[nodiscard]] std::size_t requestsNeeded(const service_state &state, std::uint64_t part, time_point since, std::uint64_t answersSince) const;
-    [[nodiscard]] bool isGuilty(const service_state &state, std::uint64_t part, const std::set<std::uint64_t> &crashes) const;
+    [[nodiscard]] bool isLikelyCause(const service_state &state, std::uint64_t part, const std::set<std::uint64_t> &crashes) const;
     known_crash &addCrash(service_state &state, const crash_report &crash, time_point now);
     void noteCrashUnderHeld(service_state &state, std::uint64_t crashKey, time_point now);
-    /// Holds parts until no further one is guilty.
-    void holdGuilty(const std::string &service, service_state &state, const known_crash &crash, time_point now);
+    /// Holds parts until no further one is a likely cause.
+    void holdLikelyCauses(const std::string &service, service_state &state, const known_crash &crash, time_point now);
     void hold(const std::string &service, service_state &state, const part_set &parts, held_state held, std::string_view reason, time_point now);
     void releaseSupersets(const std::string &service, service_state &state, const part_set &parts, time_point now);
-    void acquit(const std::string &service, service_state &state, std::uint64_t part, time_point at, std::string_view reason, time_point now);
+    void clear(const std::string &service, service_state &state, std::uint64_t part, time_point at, std::string_view reason, time_point now);
     void adopt(const held_parts &told, time_point now);
-    void tellAcquittal(service_state &state, std::uint64_t part, time_point at);
+    void tellClearance(service_state &state, std::uint64_t part, time_point at);
     void rememberAnswer(answer_memory &memory, std::uint64_t part, time_point now) const;
     [[nodiscard]] static time_point lastAnswered(const answer_memory &memory, std::uint64_t part);
     void forgetOutdated(const std::string &service, service_state &state, time_point now);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -195,7 +195,7 @@
                         .endpoint = mixBits(hashText(record.id) ^ static_cast<std::uint64_t>(record.startedAtMilliseconds)),
                         .age = m_loop.now() - crash.at};
     for (const auto &attempt : crash.attempts) {
-        report.accused.push_back({.attempt = hashText(attempt.attemptId), .parts = attempt.parts});
+        report.suspects.push_back({.attempt = hashText(attempt.attemptId), .parts = attempt.parts});
     }
     m_quarantine.onCrash(report, m_loop.now());
     announceNews();
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -27,16 +27,16 @@
 using packed_streams = std::tuple<std::string, std::string, std::vector<std::tuple<std::uint64_t, std::int64_t>>>;
 /// Service, software version, and the milliseconds since it was last listed.
 using packed_version = std::tuple<std::string, std::string, std::int64_t>;
-/// Attempt and parts of a request that a crash accuses.
-using packed_accused = std::tuple<std::uint64_t, std::vector<std::uint64_t>>;
-/// Service, endpoint, age in milliseconds and the accused requests.
-using packed_crash = std::tuple<std::string, std::uint64_t, std::int64_t, std::vector<packed_accused>>;
+/// Attempt and parts of a request that a crash implicates.
+using packed_suspect = std::tuple<std::uint64_t, std::vector<std::uint64_t>>;
+/// Service, endpoint, age in milliseconds and the suspected requests.
+using packed_crash = std::tuple<std::string, std::uint64_t, std::int64_t, std::vector<packed_suspect>>;
 /// Service, part and age in milliseconds.
-using packed_acquittal = std::tuple<std::string, std::uint64_t, std::int64_t>;
+using packed_clearance = std::tuple<std::string, std::uint64_t, std::int64_t>;
 /// Service, parts, crashes, age and time until a trial in milliseconds.
 using packed_held = std::tuple<std::string, std::vector<std::uint64_t>, int, std::int64_t, std::int64_t>;
 /// The last members are the epoch of the log, the limits of endpoints, the demand by service, begun streams, software versions, and crashes,
-/// acquittals and held parts of prompts. Entries of earlier versions skip them.
+/// clearances and held parts of prompts. Entries of earlier versions skip them.
 using packed_message = std::tuple<int,
                                   std::int64_t,
                                   bool,
@@ -50,7 +50,7 @@
                                   std::vector<packed_streams>,
                                   std::vector<packed_version>,
                                   std::vector<packed_crash>,
-                                  std::vector<packed_acquittal>,
+                                  std::vector<packed_clearance>,
                                   std::vector<packed_held>>;
 
 /// Returns the tokens of each rank without trailing zeros.
@@ -159,19 +159,19 @@
 {
     std::vector<packed_crash> packed;
     for (const auto &crash : crashes) {
-        std::vector<packed_accused> accused;
-        for (const auto &request : crash.accused) {
-            accused.emplace_back(request.attempt, std::vector<std::uint64_t>(request.parts.begin(), request.parts.end()));
+        std::vector<packed_suspect> suspects;
+        for (const auto &request : crash.suspects) {
+            suspects.emplace_back(request.attempt, std::vector<std::uint64_t>(request.parts.begin(), request.parts.end()));
         }
-        packed.emplace_back(crash.service, crash.endpoint, packMilliseconds(crash.age), accused);
+        packed.emplace_back(crash.service, crash.endpoint, packMilliseconds(crash.age), suspects);
     }
     return packed;
 }
 
-std::vector<packed_acquittal> packAcquittals(const std::vector<acquittal> &acquittals)
+std::vector<packed_clearance> packClearances(const std::vector<clearance> &clearances)
 {
-    std::vector<packed_acquittal> packed;
-    for (const auto &[service, part, age] : acquittals) {
+    std::vector<packed_clearance> packed;
+    for (const auto &[service, part, age] : clearances) {
         packed.emplace_back(service, part, packMilliseconds(age));
     }
     return packed;
@@ -191,18 +191,18 @@
 }
 
 quarantine_digest
-unpackQuarantine(const std::vector<packed_crash> &crashes, const std::vector<packed_acquittal> &acquittals, const std::vector<packed_held> &held)
+unpackQuarantine(const std::vector<packed_crash> &crashes, const std::vector<packed_clearance> &clearances, const std::vector<packed_held> &held)
 {
     quarantine_digest digest;
-    for (const auto &[service, endpoint, age, accused] : crashes) {
+    for (const auto &[service, endpoint, age, suspects] : crashes) {
         crash_report crash{.service = service, .endpoint = endpoint, .age = unpackMilliseconds(age)};
-        for (const auto &[attempt, parts] : accused) {
-            crash.accused.push_back({.attempt = attempt, .parts = {parts.begin(), parts.end()}});
+        for (const auto &[attempt, parts] : suspects) {
+            crash.suspects.push_back({.attempt = attempt, .parts = {parts.begin(), parts.end()}});
         }
         digest.crashes.push_back(std::move(crash));
     }
-    for (const auto &[service, part, age] : acquittals) {
-        digest.acquittals.push_back({.service = service, .part = part, .age = unpackMilliseconds(age)});
+    for (const auto &[service, part, age] : clearances) {
+        digest.clearances.push_back({.service = service, .part = part, .age = unpackMilliseconds(age)});
     }
     for (const auto &[service, parts, crashCount, age, untilTrial] : held) {
         digest.held.push_back({.service = service,
@@ -270,7 +270,7 @@
                                  packStreams(message.streams.begun),
                                  packVersions(message.streams.versions),
                                  packCrashes(message.quarantine.crashes),
-                                 packAcquittals(message.quarantine.acquittals),
+                                 packClearances(message.quarantine.clearances),
                                  packHeld(message.quarantine.held)});
     return {buffer.data(), buffer.size()};
 }
@@ -279,7 +279,7 @@
 {
     try {
         const auto handle = unpackBounded(bytes);
-        const auto [format, version, isLeaving, loads, rates, placements, peers, logEpoch, rateLimits, demand, streams, versions, crashes, acquittals, held] =
+        const auto [format, version, isLeaving, loads, rates, placements, peers, logEpoch, rateLimits, demand, streams, versions, crashes, clearances, held] =
             handle.get().as<packed_message>();
         if (format != formatVersion) {
             throw shunt_error(error_kind::malformed_frame,
@@ -305,7 +305,7 @@
             message.load.rateLimits.demand[service] = notNegative(rate);
         }
         message.streams = {.begun = unpackStreams(streams), .versions = unpackVersions(versions)};
-        message.quarantine = unpackQuarantine(crashes, acquittals, held);
+        message.quarantine = unpackQuarantine(crashes, clearances, held);
         for (const auto &[ip, port] : peers) {
             message.peers.push_back({.ip = ip, .port = port});
         }
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -86,7 +86,7 @@
         m_context.planner.onFirstByte(*m_placed, m_context.loop.now() - m_sentAt, m_context.loop.now());
     }
     if (m_hasFirstByte && m_context.loop.now() - m_firstByteAt >= minAnswered) {
-        acquitParts();
+        clearParts();
     }
     if (!isStreamSuccess()) {
         m_context.bodyBytes += bytes.size();
@@ -139,7 +139,7 @@
     const bool isServerError = m_head.status >= firstServerError;
     m_mayHaveRun = m_mayHaveRun || !didNotRun;
     if (m_hasFirstByte) {
-        acquitParts();
+        clearParts();
     }
     releaseEndpoint(didNotRun ? endpoint_outcome::did_not_run : isServerError ? endpoint_outcome::failed : endpoint_outcome::answered);
     if (m_caller == nullptr) {
@@ -216,12 +216,12 @@
     m_placed.reset();
 }
 
-void request_session::acquitParts()
+void request_session::clearParts()
 {
-    if (m_hasAcquitted || !m_placementRequest.hasPrompt || !isSuccess(m_head.status)) {
+    if (m_hasCleared || !m_placementRequest.hasPrompt || !isSuccess(m_head.status)) {
         return;
     }
-    m_hasAcquitted = true;
+    m_hasCleared = true;
     m_context.quarantine.onAnswered(m_service, m_sharedParts, m_context.loop.now());
     m_context.onNewsForPeers();
 }
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -314,7 +314,7 @@
     m_placed = placed;
     m_sentAt = m_context.loop.now();
     m_hasFirstByte = false;
-    m_hasAcquitted = false;
+    m_hasCleared = false;
     m_head = {};
     m_response = {};
     m_context.bodyBytes -= m_body.size();
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -74,7 +74,7 @@
     /// Abandons the running attempt, if there is one, and closes its connection.
     void dropAttempt();
     /// Reports that the parts of the prompt do not crash the endpoint, once for each attempt.
-    void acquitParts();
+    void clearParts();
     /// Returns the refusal if the request's prompt is held.
     [[nodiscard]] std::optional<placement_decision> heldDecision() const;
     /// Reports the attempt to the watch for crashes if its endpoint had not begun to answer it, or only just.
@@ -110,7 +110,7 @@
     /// IDs of the parts of the prompt that other requests may share.
     part_set m_sharedParts;
     /// Whether an answer to the current attempt has shown that the parts crash no endpoint.
-    bool m_hasAcquitted = false;
+    bool m_hasCleared = false;
     std::optional<admission_queue::ticket> m_ticket;
     timer_id m_queueTimer = 0;
     /// Tries the queue again when an endpoint that limits its requests per second has a permit.
--- a/test/prompt_quarantine_fleet_test.cpp
+++ b/test/prompt_quarantine_fleet_test.cpp
@@ -93,7 +93,7 @@
         time_point beginsAt;
         time_point endsAt;
         int sends = 0;
-        bool hasAcquitted = false;
+        bool hasCleared = false;
     };
     struct deadly_part
     {
@@ -213,8 +213,8 @@
         for (auto &request : m_running) {
             if (request.deadlyPart != 0 && request.beginsAt <= m_now) {
                 crashed.emplace(request.endpoint, request.deadlyPart);
-            } else if (!request.hasAcquitted && std::min<time_point>(request.endsAt, request.beginsAt + answeredLongEnough) <= m_now) {
-                request.hasAcquitted = true;
+            } else if (!request.hasCleared && std::min<time_point>(request.endsAt, request.beginsAt + answeredLongEnough) <= m_now) {
+                request.hasCleared = true;
                 m_entries[request.entry].onAnswered(service, request.parts, m_now);
             }
         }
@@ -237,7 +237,7 @@
         const std::uint64_t incarnation = endpoint * 1000 + static_cast<std::uint64_t>(++m_starts[endpoint]);
         std::vector<running_request> broken;
         for (const auto &request : m_running) {
-            if (request.endpoint == endpoint && !request.hasAcquitted) {
+            if (request.endpoint == endpoint && !request.hasCleared) {
                 broken.push_back(request);
             }
         }
@@ -259,10 +259,10 @@
         crash_report seen{.service = service, .endpoint = incarnation, .age = noticedAfter};
         for (const auto &request : broken) {
             if (request.entry == entry) {
-                seen.accused.push_back({.attempt = request.attempt, .parts = request.parts});
+                seen.suspects.push_back({.attempt = request.attempt, .parts = request.parts});
             }
         }
-        if (!seen.accused.empty()) {
+        if (!seen.suspects.empty()) {
             later(noticedAfter, [this, entry, seen] { m_entries[entry].onCrash(seen, m_now); });
         }
     }
--- a/test/prompt_quarantine_test.cpp
+++ b/test/prompt_quarantine_test.cpp
@@ -35,9 +35,9 @@
         m_now += milliseconds(1);
     }
 
-    crash_report report(std::vector<accused_request> accused)
+    crash_report report(std::vector<suspect_request> suspects)
     {
-        return {.service = service, .endpoint = ++m_endpoints, .accused = std::move(accused)};
+        return {.service = service, .endpoint = ++m_endpoints, .suspects = std::move(suspects)};
     }
 
     quarantine_verdict check(const part_set &parts) const
@@ -58,7 +58,7 @@
     std::uint64_t m_endpoints = 0;
 };
 
-TEST_F(prompt_quarantine_test, HoldsThePartThatThreeSeparateCrashesAccuse)
+TEST_F(prompt_quarantine_test, HoldsThePartThatThreeSeparateCrashesImplicate)
 {
     crashUnder({popularPart, deadlyPart});
     crashUnder({popularPart, deadlyPart});
@@ -94,7 +94,7 @@
     EXPECT_EQ(check({popularPart}), quarantine_verdict::free);
 }
 
-TEST_F(prompt_quarantine_test, AnAnswerAcquitsItsParts)
+TEST_F(prompt_quarantine_test, AnAnswerClearsItsParts)
 {
     crashUnder({deadlyPart});
     crashUnder({deadlyPart});
@@ -104,7 +104,7 @@
     EXPECT_EQ(check({deadlyPart}), quarantine_verdict::free);
 }
 
-TEST_F(prompt_quarantine_test, AnAnswerOfAnotherServiceAcquitsNothing)
+TEST_F(prompt_quarantine_test, AnAnswerOfAnotherServiceClearsNothing)
 {
     holdDeadlyPart();
     m_quarantine.onAnswered("other", {deadlyPart}, m_now);
@@ -112,7 +112,7 @@
     EXPECT_EQ(m_quarantine.check("other", {deadlyPart}, m_now), quarantine_verdict::free);
 }
 
-TEST_F(prompt_quarantine_test, HoldsPartsThatTheSameCrashesAccuseOnlyTogether)
+TEST_F(prompt_quarantine_test, HoldsPartsThatTheSameCrashesImplicateOnlyTogether)
 {
     for (int i = 0; i < 3; ++i) {
         crashUnder({deadlyPart, companionPart});
@@ -133,7 +133,7 @@
     EXPECT_EQ(check({companionPart}), quarantine_verdict::free);
 }
 
-TEST_F(prompt_quarantine_test, CrashesUnderHeldPartsDoNotAccuseOthers)
+TEST_F(prompt_quarantine_test, CrashesUnderHeldPartsDoNotImplicateOthers)
 {
     holdDeadlyPart();
     constexpr std::uint64_t besidePart = 9;
@@ -211,7 +211,7 @@
     EXPECT_EQ(check({deadlyPart}), quarantine_verdict::free);
 }
 
-TEST_F(prompt_quarantine_test, TellsPeersOfCrashesAcquittalsAndHeldParts)
+TEST_F(prompt_quarantine_test, TellsPeersOfCrashesClearancesAndHeldParts)
 {
     holdDeadlyPart();
     EXPECT_TRUE(m_quarantine.hasNews());
@@ -260,7 +260,7 @@
         m_now += seconds(1);
         auto told = seen;
         told.age = seconds(peer + 1);
-        told.accused.front().attempt = static_cast<std::uint64_t>(10 + peer);
+        told.suspects.front().attempt = static_cast<std::uint64_t>(10 + peer);
         m_quarantine.onPeerDigest({.crashes = {told}}, m_now);
     }
     EXPECT_TRUE(m_quarantine.mayRepeat(service, {deadlyPart}));
