Tell peers news in small messages, bounded with the rounds of messages

Cause: an entry told its peers of each stream that began, and of each clearance of prompt parts, by a whole round of messages, which no bound held. In the first 30 s after the start of a fleet every stream is news, because no entry knows yet that only one software version serves. With 102 peers and 47 streams a second an entry sent 4.8 MB a second, on links that carry 2.5.

Change: news are a message of their own without loads and peers; only a cut stream and a change of the quarantine are told between two rounds. Entries of the version before reject news, log that, and learn the same from the next message.

The codec moves from peer_exchange to entry_message.

--- /dev/null
+++ b/src/gateway/entry_message.cpp
@@ -0,0 +1,371 @@
+#include "gateway/entry_message.h"
+
+#include "gateway/bounded_unpack.h"
+#include "wisteriashunt/errors.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace wisteriashunt
+{
+
+namespace
+{
+
+/// Versions of the formats of messages and news. Datagrams of another version are rejected.
+constexpr int formatVersion = 2;
+constexpr int newsFormatVersion = 3;
+
+/// The last two members hold tokens by rank and replace the totals, which are for entries of earlier versions.
+using packed_load = std::tuple<std::string, int, std::int64_t, int, int, std::int64_t, std::int64_t, std::vector<std::int64_t>, std::vector<std::int64_t>>;
+using packed_rate = std::tuple<std::string, double>;
+using packed_address = std::tuple<std::uint32_t, std::uint16_t>;
+using packed_placement = std::tuple<std::uint64_t, std::string>;
+/// Limit, age in milliseconds and number of sent requests; the limit is -1 after its withdrawal.
+using packed_rate_limit = std::tuple<std::string, std::string, std::int64_t, double, std::int64_t, std::int64_t>;
+/// Service, software version and the streams that began there, by hash, with the milliseconds for which they may be taken up.
+using packed_streams = std::tuple<std::string, std::string, std::vector<std::tuple<std::uint64_t, std::int64_t>>>;
+/// Service, software version, and the milliseconds since it was last listed.
+using packed_version = std::tuple<std::string, std::string, std::int64_t>;
+/// Attempt and parts of a request that a crash implicates.
+using packed_suspect = std::tuple<std::uint64_t, std::vector<std::uint64_t>>;
+/// Service, endpoint, age in milliseconds and the suspected requests.
+using packed_crash = std::tuple<std::string, std::uint64_t, std::int64_t, std::vector<packed_suspect>>;
+/// Service, part and age in milliseconds.
+using packed_clearance = std::tuple<std::string, std::uint64_t, std::int64_t>;
+/// Service, parts, crashes, age and time until a trial in milliseconds.
+using packed_held = std::tuple<std::string, std::vector<std::uint64_t>, int, std::int64_t, std::int64_t>;
+/// The last members are the epoch of the log, the limits of endpoints, the demand by service, begun streams, software versions, and crashes,
+/// clearances and held parts of prompts. Entries of earlier versions skip them.
+using packed_message = std::tuple<int,
+                                  std::int64_t,
+                                  bool,
+                                  std::vector<packed_load>,
+                                  std::vector<packed_rate>,
+                                  std::vector<packed_placement>,
+                                  std::vector<packed_address>,
+                                  std::int64_t,
+                                  std::vector<packed_rate_limit>,
+                                  std::vector<packed_rate>,
+                                  std::vector<packed_streams>,
+                                  std::vector<packed_version>,
+                                  std::vector<packed_crash>,
+                                  std::vector<packed_clearance>,
+                                  std::vector<packed_held>>;
+
+using packed_news = std::tuple<int, std::vector<packed_streams>, std::vector<packed_crash>, std::vector<packed_clearance>, std::vector<packed_held>>;
+
+/// Returns the tokens of each rank without trailing zeros.
+std::vector<std::int64_t> packRanks(const ranked_tokens &tokens)
+{
+    std::vector<std::int64_t> packed;
+    for (int rank = 0; rank <= ranked_tokens::lowestRank; ++rank) {
+        packed.push_back(tokens.ofRank(rank));
+    }
+    while (!packed.empty() && packed.back() == 0) {
+        packed.pop_back();
+    }
+    return packed;
+}
+
+/// Tokens of an entry of an earlier version, which reports no ranks, count as the most urgent, so that no request is placed as if they did not exist.
+ranked_tokens unpackRanks(const std::vector<std::int64_t> &packed, std::int64_t total)
+{
+    ranked_tokens tokens;
+    for (std::size_t rank = 0; rank < packed.size(); ++rank) {
+        tokens.add(static_cast<int>(rank), packed[rank]);
+    }
+    return packed.empty() ? ranked_tokens(0, total) : tokens;
+}
+
+/// Returns the value if it is a finite number from 0 on. Throws shunt_error(malformed_frame) otherwise.
+template<typename Number>
+Number notNegative(Number value)
+{
+    if (!std::isfinite(static_cast<double>(value)) || value < 0) {
+        throw shunt_error(error_kind::malformed_frame, "peer message: expected a number from 0 on, found " + std::to_string(value));
+    }
+    return value;
+}
+
+duration unpackMilliseconds(std::int64_t value)
+{
+    constexpr std::int64_t maxMilliseconds = 86'400'000;
+    return std::chrono::milliseconds(std::min(notNegative(value), maxMilliseconds));
+}
+
+std::int64_t packMilliseconds(duration value)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+constexpr double withdrawnLimit = -1;
+
+std::vector<packed_rate_limit> packRateLimits(const std::vector<rate_limit_notice> &notices)
+{
+    std::vector<packed_rate_limit> packed;
+    for (const auto &notice : notices) {
+        packed.emplace_back(notice.endpointId,
+                            notice.service,
+                            notice.startedAtMilliseconds,
+                            notice.perSecond.value_or(withdrawnLimit),
+                            packMilliseconds(notice.age),
+                            notice.sent);
+    }
+    return packed;
+}
+
+std::vector<packed_streams> packStreams(const std::vector<begun_stream> &begun)
+{
+    std::map<stream_origin, std::vector<std::tuple<std::uint64_t, std::int64_t>>> byOrigin;
+    for (const auto &each : begun) {
+        byOrigin[each.origin].emplace_back(each.stream, packMilliseconds(each.timeLeft));
+    }
+    std::vector<packed_streams> packed;
+    for (const auto &[origin, streams] : byOrigin) {
+        packed.emplace_back(origin.service, origin.softwareVersion, streams);
+    }
+    return packed;
+}
+
+std::vector<begun_stream> unpackStreams(const std::vector<packed_streams> &packed)
+{
+    std::vector<begun_stream> begun;
+    for (const auto &[service, version, streams] : packed) {
+        for (const auto &[stream, timeLeft] : streams) {
+            begun.push_back({.stream = stream, .origin = {.service = service, .softwareVersion = version}, .timeLeft = unpackMilliseconds(timeLeft)});
+        }
+    }
+    return begun;
+}
+
+std::vector<packed_version> packVersions(const std::vector<listed_version> &versions)
+{
+    std::vector<packed_version> packed;
+    for (const auto &[version, age] : versions) {
+        packed.emplace_back(version.service, version.softwareVersion, packMilliseconds(age));
+    }
+    return packed;
+}
+
+std::vector<listed_version> unpackVersions(const std::vector<packed_version> &packed)
+{
+    std::vector<listed_version> versions;
+    for (const auto &[service, version, age] : packed) {
+        versions.push_back({.version = {.service = service, .softwareVersion = version}, .age = unpackMilliseconds(age)});
+    }
+    return versions;
+}
+
+std::vector<packed_crash> packCrashes(const std::vector<crash_report> &crashes)
+{
+    std::vector<packed_crash> packed;
+    for (const auto &crash : crashes) {
+        std::vector<packed_suspect> suspects;
+        for (const auto &request : crash.suspects) {
+            suspects.emplace_back(request.attempt, std::vector<std::uint64_t>(request.parts.begin(), request.parts.end()));
+        }
+        packed.emplace_back(crash.service, crash.endpoint, packMilliseconds(crash.age), suspects);
+    }
+    return packed;
+}
+
+std::vector<packed_clearance> packClearances(const std::vector<clearance> &clearances)
+{
+    std::vector<packed_clearance> packed;
+    for (const auto &[service, part, age] : clearances) {
+        packed.emplace_back(service, part, packMilliseconds(age));
+    }
+    return packed;
+}
+
+std::vector<packed_held> packHeld(const std::vector<held_parts> &held)
+{
+    std::vector<packed_held> packed;
+    for (const auto &each : held) {
+        packed.emplace_back(each.service,
+                            std::vector<std::uint64_t>(each.parts.begin(), each.parts.end()),
+                            each.crashes,
+                            packMilliseconds(each.age),
+                            packMilliseconds(each.untilTrial));
+    }
+    return packed;
+}
+
+quarantine_digest
+unpackQuarantine(const std::vector<packed_crash> &crashes, const std::vector<packed_clearance> &clearances, const std::vector<packed_held> &held)
+{
+    quarantine_digest digest;
+    for (const auto &[service, endpoint, age, suspects] : crashes) {
+        crash_report crash{.service = service, .endpoint = endpoint, .age = unpackMilliseconds(age)};
+        for (const auto &[attempt, parts] : suspects) {
+            crash.suspects.push_back({.attempt = attempt, .parts = {parts.begin(), parts.end()}});
+        }
+        digest.crashes.push_back(std::move(crash));
+    }
+    for (const auto &[service, part, age] : clearances) {
+        digest.clearances.push_back({.service = service, .part = part, .age = unpackMilliseconds(age)});
+    }
+    for (const auto &[service, parts, crashCount, age, untilTrial] : held) {
+        digest.held.push_back({.service = service,
+                               .parts = {parts.begin(), parts.end()},
+                               .crashes = notNegative(crashCount),
+                               .age = unpackMilliseconds(age),
+                               .untilTrial = unpackMilliseconds(untilTrial)});
+    }
+    return digest;
+}
+
+std::vector<rate_limit_notice> unpackRateLimits(const std::vector<packed_rate_limit> &packed)
+{
+    std::vector<rate_limit_notice> notices;
+    for (const auto &[id, service, startedAt, perSecond, age, sent] : packed) {
+        notices.push_back({.endpointId = id,
+                           .service = service,
+                           .startedAtMilliseconds = startedAt,
+                           .perSecond = perSecond == withdrawnLimit ? std::nullopt : std::optional(notNegative(perSecond)),
+                           .age = unpackMilliseconds(age),
+                           .sent = notNegative(sent)});
+    }
+    return notices;
+}
+
+entry_message unpackMessage(const msgpack::object &packed)
+{
+    const auto [format, version, isLeaving, loads, rates, placements, peers, logEpoch, rateLimits, demand, streams, versions, crashes, clearances, held] =
+        packed.as<packed_message>();
+    if (format != formatVersion) {
+        throw shunt_error(error_kind::malformed_frame, "peer message: expected format " + std::to_string(formatVersion) + ", found " + std::to_string(format));
+    }
+    entry_message message{.declarationsVersion = version, .isLeaving = isLeaving, .logEpoch = logEpoch};
+    for (const auto &[id, waiting, tokens, shortPrompts, longPrompts, longPromptTokens, recentTokens, waitingByRank, longByRank] : loads) {
+        message.load.endpoints[id] = {.waiting = waiting,
+                                      .waitingTokens = unpackRanks(waitingByRank, tokens),
+                                      .shortPrompts = shortPrompts,
+                                      .longPrompts = longPrompts,
+                                      .longPromptTokens = unpackRanks(longByRank, longPromptTokens),
+                                      .recentTokens = recentTokens};
+    }
+    for (const auto &[service, rate] : rates) {
+        message.load.shortPromptTokensPerSecond[service] = rate;
+    }
+    for (const auto &[part, id] : placements) {
+        message.load.placements.push_back({.part = part, .endpointId = id});
+    }
+    message.load.rateLimits.notices = unpackRateLimits(rateLimits);
+    for (const auto &[service, rate] : demand) {
+        message.load.rateLimits.demand[service] = notNegative(rate);
+    }
+    message.streams = {.begun = unpackStreams(streams), .versions = unpackVersions(versions)};
+    message.quarantine = unpackQuarantine(crashes, clearances, held);
+    for (const auto &[ip, port] : peers) {
+        message.peers.push_back({.ip = ip, .port = port});
+    }
+    return message;
+}
+
+entry_news unpackNews(const msgpack::object &packed)
+{
+    const auto [format, streams, crashes, clearances, held] = packed.as<packed_news>();
+    return {.begunStreams = unpackStreams(streams), .quarantine = unpackQuarantine(crashes, clearances, held)};
+}
+
+/// Returns the version of the format, which is the first member of the array.
+int formatOf(const msgpack::object &packed)
+{
+    if (packed.type != msgpack::type::ARRAY || packed.via.array.size == 0) {
+        throw msgpack::type_error();
+    }
+    return packed.via.array.ptr[0].as<int>();
+}
+
+/// Unpacks the bytes and passes the object to the function. Throws shunt_error(malformed_frame) if the bytes or the object are not valid.
+template<typename Unpack>
+auto unpackDatagram(std::string_view bytes, Unpack unpack)
+{
+    try {
+        const auto handle = unpackBounded(bytes);
+        return unpack(handle.get());
+    } catch (const msgpack::type_error &) {
+        throw shunt_error(error_kind::malformed_frame, "peer message: a member has an unexpected type");
+    } catch (const msgpack::unpack_error &) {
+        throw shunt_error(error_kind::malformed_frame, "peer message: " + std::to_string(bytes.size()) + " bytes are not valid msgpack");
+    }
+}
+
+} // namespace
+
+std::string encodeEntryMessage(const entry_message &message)
+{
+    std::vector<packed_load> loads;
+    for (const auto &[id, load] : message.load.endpoints) {
+        loads.emplace_back(id,
+                           load.waiting,
+                           load.waitingTokens.total(),
+                           load.shortPrompts,
+                           load.longPrompts,
+                           load.longPromptTokens.total(),
+                           load.recentTokens,
+                           packRanks(load.waitingTokens),
+                           packRanks(load.longPromptTokens));
+    }
+    const std::vector<packed_rate> rates(message.load.shortPromptTokensPerSecond.begin(), message.load.shortPromptTokensPerSecond.end());
+    std::vector<packed_placement> placements;
+    for (const auto &placed : message.load.placements) {
+        placements.emplace_back(placed.part, placed.endpointId);
+    }
+    std::vector<packed_address> peers;
+    for (const auto &peer : message.peers) {
+        peers.emplace_back(peer.ip, peer.port);
+    }
+    const auto &limits = message.load.rateLimits;
+    const std::vector<packed_rate> demand(limits.demand.begin(), limits.demand.end());
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer,
+                  packed_message{formatVersion,
+                                 message.declarationsVersion,
+                                 message.isLeaving,
+                                 loads,
+                                 rates,
+                                 placements,
+                                 peers,
+                                 message.logEpoch,
+                                 packRateLimits(limits.notices),
+                                 demand,
+                                 packStreams(message.streams.begun),
+                                 packVersions(message.streams.versions),
+                                 packCrashes(message.quarantine.crashes),
+                                 packClearances(message.quarantine.clearances),
+                                 packHeld(message.quarantine.held)});
+    return {buffer.data(), buffer.size()};
+}
+
+std::string encodeEntryNews(const entry_news &news)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer,
+                  packed_news{newsFormatVersion,
+                              packStreams(news.begunStreams),
+                              packCrashes(news.quarantine.crashes),
+                              packClearances(news.quarantine.clearances),
+                              packHeld(news.quarantine.held)});
+    return {buffer.data(), buffer.size()};
+}
+
+entry_message decodeEntryMessage(std::string_view bytes)
+{
+    return unpackDatagram(bytes, unpackMessage);
+}
+
+std::variant<entry_message, entry_news> decodeDatagram(std::string_view bytes)
+{
+    return unpackDatagram(bytes, [](const msgpack::object &packed) -> std::variant<entry_message, entry_news> {
+        if (formatOf(packed) == newsFormatVersion) {
+            return unpackNews(packed);
+        }
+        return unpackMessage(packed);
+    });
+}
+
+} // namespace wisteriashunt
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,6 +39,9 @@
 /// Bodies of open requests may take the instance's memory divided by this. Responses and buffers need about as much again.
 constexpr std::size_t bodyMemoryDivisor = 4;
 
+/// Share of the instance's link that messages to other entries may take. The rest is for callers and endpoints.
+constexpr double exchangeLinkShare = 0.1;
+
 /// Time after the start during which an entry waits for the first message of a peer before it is ready; entries without load send messages
 /// every peer_exchange_options::idlePeriod.
 constexpr std::chrono::milliseconds firstPeerMessageWait{700};
@@ -128,7 +131,12 @@
                        .onClosed = [this](caller_connection &caller) { m_readinessCallers.release(m_loop, caller); },
                        .onFault = [this](const auto &caller, read_fault fault) { onFault(caller, fault); }}))
 {
-    m_context.onNewsForPeers = [this] { announceNews(); };
+    m_context.onStreamCut = [this] {
+        if (m_streams.hasNews(m_loop.now())) {
+            announceNews();
+        }
+    };
+    m_context.onQuarantineChange = [this] { announceQuarantineChange(); };
     m_roster.onUnavailable = [this](const endpoint_pointer &endpoint) {
         m_log.write(endpoint->isRemoved ? event_number::endpoint_gone : event_number::endpoint_draining, {{"endpoint", endpoint->record.id}});
         m_pool.closeIdle(endpoint);
@@ -183,9 +191,12 @@
     m_peers = std::make_unique<peer_exchange>(
         m_loop,
         m_log,
-        peer_exchange_options{.seeds = m_options.settings.seeds, .self = *self},
-        [this] { return composeMessage(); },
-        [this](const socket_address &from, const entry_message &message) { onPeerMessage(from, message); });
+        peer_exchange_options{
+            .schedule = {.maxBytesPerSecond = exchangeLinkShare * m_options.settings.linkBytesPerSecond}, .seeds = m_options.settings.seeds, .self = *self},
+        peer_exchange::hooks{.compose = [this] { return composeMessage(); },
+                             .composeNews = [this] { return composeNews(); },
+                             .onMessage = [this](const socket_address &from, const entry_message &message) { onPeerMessage(from, message); },
+                             .onNews = [this](const entry_news &news) { onPeerNews(news); }});
 }
 
 void gateway::onEndpointCrash(const endpoint_crash &crash)
@@ -198,7 +209,7 @@
         report.suspects.push_back({.attempt = hashText(attempt.attemptId), .parts = attempt.parts});
     }
     m_quarantine.onCrash(report, m_loop.now());
-    announceNews();
+    announceQuarantineChange();
 }
 
 void gateway::logQuarantineChanges()
@@ -214,20 +225,34 @@
     }
 }
 
-void gateway::announceNews()
+void gateway::announceQuarantineChange()
 {
     logQuarantineChanges();
-    const bool hasNews = m_streams.hasNews(m_loop.now()) || m_quarantine.hasNews();
-    if (m_peers == nullptr || m_isAnnouncementScheduled || !hasNews) {
+    if (m_quarantine.hasNews()) {
+        announceNews();
+    }
+}
+
+void gateway::announceNews()
+{
+    if (m_peers == nullptr || m_isAnnouncementScheduled) {
         return;
     }
     m_isAnnouncementScheduled = true;
     m_announcementTimer = m_loop.schedule(m_loop.now(), [this] {
         m_isAnnouncementScheduled = false;
-        m_peers->sendNow();
+        m_peers->tellNews();
     });
 }
 
+void gateway::onPeerNews(const entry_news &news)
+{
+    m_streams.onPeerDigest({.begun = news.begunStreams}, m_loop.now());
+    m_quarantine.onPeerDigest(news.quarantine, m_loop.now());
+    logQuarantineChanges();
+    m_context.onCapacityFreed();
+}
+
 void gateway::onPeerMessage(const socket_address &from, const entry_message &message)
 {
     for (const auto &change : m_planner.onPeerDigest(toString(from), message.load, m_loop.now())) {
@@ -279,6 +304,11 @@
             .logEpoch = m_endpointsFollower.epoch()};
 }
 
+entry_news gateway::composeNews()
+{
+    return {.begunStreams = m_streams.digest(m_loop.now()).begun, .quarantine = m_quarantine.digest(m_loop.now())};
+}
+
 bool gateway::isReady() const
 {
     return m_context.table != nullptr && m_endpointsFollower.isComplete() && !m_leavingSince && !isCatchingUpWithPeers();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -72,13 +72,17 @@
     /// Whether the list of endpoints was read recently, from the log or from a peer.
     [[nodiscard]] bool isEndpointListCurrent() const;
     [[nodiscard]] entry_message composeMessage();
+    [[nodiscard]] entry_news composeNews();
     void listen();
     void startPeerExchange();
-    /// Tells peers of this entry's streams and of changes of the quarantine at the end of this iteration of the loop, if they have not been told.
+    /// Tells peers of this entry's streams and of changes of the quarantine at the end of this iteration of the loop.
     void announceNews();
+    /// Logs what has changed in the quarantine and announces it.
+    void announceQuarantineChange();
     void onEndpointCrash(const endpoint_crash &crash);
     void logQuarantineChanges();
     void onPeerMessage(const socket_address &from, const entry_message &message);
+    void onPeerNews(const entry_news &news);
     void addGauges();
 
     gateway_options m_options;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -58,9 +58,10 @@
     /// Endpoints whose unusable limits were logged, and when.
     std::map<std::string, time_point> unusableLimitReports;
     admission_queue queue;
-    /// Called when peers have to be told something at once: a stream that its caller may take up at another entry is cut, or the quarantine of
-    /// prompts has changed.
-    std::function<void()> onNewsForPeers = [] {};
+    /// Called when a stream is cut that its caller may take up at another entry at once.
+    std::function<void()> onStreamCut = [] {};
+    /// Called when the quarantine of prompts may have changed.
+    std::function<void()> onQuarantineChange = [] {};
     bool isQueueRunScheduled = false;
     timer_id queueTimer = 0;
     /// Bytes of the bodies of open requests and of answers that are not streams, and their limit.
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -36,6 +36,8 @@
     duration convergenceTime = std::chrono::seconds(2);
     retry_allowance_options retries;
     std::size_t maxDescriptors = 1024;
+    /// Bandwidth of the instance's link.
+    double linkBytesPerSecond = 125e6;
     /// Memory limit of the instance.
     std::size_t maxMemoryBytes = 256 * 1024 * 1024;
 
--- a/src/gateway/request_answers.cpp
+++ b/src/gateway/request_answers.cpp
@@ -99,7 +99,7 @@
     const auto caller = std::exchange(m_caller, nullptr);
     finish(event_number::request_cut, std::string(reason));
     if (m_origin) {
-        m_context.onNewsForPeers();
+        m_context.onStreamCut();
     }
     if (caller != nullptr) {
         caller->abort();
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -223,7 +223,7 @@
     }
     m_hasCleared = true;
     m_context.quarantine.onAnswered(m_service, m_sharedParts, m_context.loop.now());
-    m_context.onNewsForPeers();
+    m_context.onQuarantineChange();
 }
 
 void request_session::reportUnbegun()
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -287,7 +287,7 @@
     }
     m_context.quarantine.onTrial(m_service, m_sharedParts, m_sentAt);
     m_context.log.write(event_number::prompt_tried, {{"request", m_metadata.attemptId}, {"parts", hexadecimalList(m_sharedParts)}});
-    m_context.onNewsForPeers();
+    m_context.onQuarantineChange();
 }
 
 std::string request_session::buildRequest(const listed_endpoint &endpoint) const
--- a/test/entry_standins.cpp
+++ b/test/entry_standins.cpp
@@ -226,7 +226,7 @@
                    {{"front", local + std::to_string(ports.callers)},
                     {"ready", local + std::to_string(ports.readiness)},
                     {"control", local + std::to_string(ports.control)}}},
-                  {"limits", {{"memory_mb", 260}, {"max_fds", 4200}}},
+                  {"limits", {{"memory_mb", 260}, {"max_fds", 4200}, {"link_mbps", 20}}},
                   {"bounds",
                    {{"grace_period_s", 8},
                     {"drain_timeout_ms", 2000},
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -1,7 +1,7 @@
 // Tests of the placement of short and long prompts, of messages between entries and of the event splitter.
 #include "dispatch/placement.h"
+#include "gateway/entry_message.h"
 #include "gateway/event_splitter.h"
-#include "gateway/peer_exchange.h"
 #include "wisteriashunt/errors.h"
 
 #include <gtest/gtest.h>
@@ -381,14 +381,14 @@
     EXPECT_EQ(decodeEntryMessage(encodeEntryMessage(message)), message);
 }
 
-TEST(peer_exchange_test, BoundsTheMessagesASecondOfAnEntryWithManyPeers)
+TEST(entry_message_test, NewsRoundTripThroughEncoding)
 {
-    const peer_exchange_options options;
-    EXPECT_EQ(messagePeriod(options, 3), options.busyPeriod);
-    for (const std::size_t peers : {27, 60, 120}) {
-        EXPECT_LE(static_cast<double>(peers) / toSeconds(messagePeriod(options, peers)), options.maxMessagesPerSecond + 1) << peers << " peers";
-    }
-    EXPECT_EQ(messagePeriod(options, 1900), options.idlePeriod) << "digests would expire";
+    const entry_news news{
+        .begunStreams = {{.stream = 8, .origin = {"s", "v1"}, .timeLeft = std::chrono::milliseconds(1500)}},
+        .quarantine = {.clearances = {{.service = "s", .part = 6, .age = std::chrono::milliseconds(10)}}},
+    };
+    EXPECT_EQ(std::get<entry_news>(decodeDatagram(encodeEntryNews(news))), news);
+    EXPECT_THROW(static_cast<void>(decodeEntryMessage(encodeEntryNews(news))), shunt_error) << "entries of earlier versions must not take news for a load";
 }
 
 TEST(entry_message_test, CountsTokensWithoutRanksAsTheMostUrgent)
