Keep requests from endpoints that say in their answers that they leave, or ask for a pause

Cause: neither statement was read. An endpoint that said in its answers that it leaves got requests until the list said so, and one that turned a request away with a time to wait got the next one at once.

Change: platform/ decodes both. endpoint_notices (src/membership) remembers them by incarnation, so no record of the list, older copy of the log or peer takes them back; placement leaves such endpoints out. While all endpoints of a service leave, they may get requests for three quarters of the drain timeout. Entries tell each other of endpoints that leave; a pause concerns the entry that was asked. A pause indicates load, so it neither suspends the endpoint nor counts as a failure. Overlapping pauses end with the last one. If all endpoints pause, a request waits as long as its target allows, and its refusal says when the first pause ends, spread by a quarter of that time.

Ruled out: probing at the end of a pause (the endpoint has named the time), and handing requests to an entry without a pause: a hop more for every request, and the endpoint that asks one entry to pause is as full for the others.

Not covered: an incarnation that says that it leaves before its own record is read is taken for the one that is listed.

Both statements share the decoding and the memory, hence one commit.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -36,6 +36,11 @@
     return prompt.size() == 1 ? prompt.front().id : prompt[prompt.size() - 2].id;
 }
 
+bool wasTried(const placement_request &request, const listed_endpoint &endpoint)
+{
+    return std::find(request.excluded.begin(), request.excluded.end(), endpoint.record.id) != request.excluded.end();
+}
+
 sent_work workOf(const placement &placed)
 {
     return {.endpointId = placed.endpoint->record.id, .uncachedTokens = placed.uncachedTokens, .rank = placed.rank, .isLongPrompt = placed.isLongPrompt};
@@ -76,18 +81,33 @@
 {
 }
 
+std::vector<endpoint_pointer> placement_planner::eligibleEndpoints(const placement_request &request, time_point now) const
+{
+    std::vector<endpoint_pointer> eligible;
+    std::vector<endpoint_pointer> leaving;
+    bool doAllLeave = true;
+    for (const auto &endpoint : m_roster.ofService(request.service)) {
+        const auto &[record, health, isRemoved, notice] = *endpoint;
+        if (record.isDraining || (request.softwareVersion && record.softwareVersion != *request.softwareVersion)) {
+            continue;
+        }
+        doAllLeave = doAllLeave && notice.isLeaving;
+        const bool hasLeft = notice.isLeaving && now - notice.leavingSince >= m_options.leavingGrace;
+        if (!hasLeft && !notice.isPaused(now) && !wasTried(request, *endpoint)) {
+            (notice.isLeaving ? leaving : eligible).push_back(endpoint);
+        }
+    }
+    // An endpoint that leaves is no substitute for one that pauses.
+    return doAllLeave ? leaving : eligible;
+}
+
 std::vector<placement_planner::candidate> placement_planner::candidates(const placement_request &request, time_point now) const
 {
-    const auto &listed = m_roster.ofService(request.service);
     const health_options healthOptions;
     std::vector<candidate> usable;
     std::vector<candidate> unhealthy;
-    for (const auto &endpoint : listed) {
+    for (const auto &endpoint : eligibleEndpoints(request, now)) {
         const auto &id = endpoint->record.id;
-        const bool hasOtherVersion = request.softwareVersion && endpoint->record.softwareVersion != *request.softwareVersion;
-        if (hasOtherVersion || endpoint->record.isDraining || std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end()) {
-            continue;
-        }
         candidate found{.endpoint = endpoint, .load = m_loads.loadOf(id, now), .order = mixBits(hashText(id))};
         const bool isUnhealthy = endpoint->health.isSuspended(now) || endpoint->health.isFailing(healthOptions);
         (isUnhealthy ? unhealthy : usable).push_back(std::move(found));
@@ -109,7 +129,7 @@
 {
     auto usable = candidates(request, now);
     if (usable.empty()) {
-        return {.refusal = placement_refusal::no_endpoint, .retryAfter = std::chrono::milliseconds(500)};
+        return refuseWithoutCandidates(request, now);
     }
     if (const auto wait = removeWithoutPermit(usable, request, now); usable.empty()) {
         return {.refusal = placement_refusal::overloaded,
@@ -123,6 +143,53 @@
     return isLongPrompt(request) ? placeLongPrompt(request, std::move(usable), now) : placeShortPrompt(request, std::move(usable), now);
 }
 
+placement_decision placement_planner::refuseWithoutCandidates(const placement_request &request, time_point now) const
+{
+    const auto pause = timeToPauseEnd(request.service, now);
+    const auto &listed = m_roster.ofService(request.service);
+    const bool hasUntried =
+        std::any_of(listed.begin(), listed.end(), [&](const endpoint_pointer &endpoint) { return !endpoint->isLeaving() && !wasTried(request, *endpoint); });
+    if (pause && hasUntried) {
+        return {.refusal = placement_refusal::overloaded,
+                .retryAfter = retryAfterPauses(request, now).value_or(*pause),
+                .predictedFirstByte = *pause,
+                .timeToPermit = pause};
+    }
+    constexpr std::chrono::milliseconds unlistedRetryAfter{500};
+    return {.refusal = placement_refusal::no_endpoint, .retryAfter = retryAfterPauses(request, now).value_or(unlistedRetryAfter)};
+}
+
+std::optional<duration> placement_planner::timeToPauseEnd(const std::string &service, time_point now) const
+{
+    std::optional<duration> first;
+    for (const auto &endpoint : m_roster.ofService(service)) {
+        if (endpoint->isLeaving()) {
+            continue;
+        }
+        if (!endpoint->notice.isPaused(now)) {
+            return std::nullopt;
+        }
+        const auto left = endpoint->notice.pausedUntil - now;
+        first = std::min(first.value_or(left), left);
+    }
+    return first;
+}
+
+std::optional<duration> placement_planner::retryAfterPauses(const placement_request &request, time_point now) const
+{
+    const auto first = timeToPauseEnd(request.service, now);
+    if (!first) {
+        return std::nullopt;
+    }
+    // Callers that were refused during a pause would otherwise all return at its end.
+    constexpr double spreadShare = 0.25;
+    constexpr duration minSpread = std::chrono::milliseconds(500);
+    constexpr duration maxSpread = std::chrono::seconds(30);
+    constexpr std::uint64_t steps = 1024;
+    const auto spread = std::clamp(fromSeconds(spreadShare * toSeconds(*first)), minSpread, maxSpread);
+    return *first + spread * static_cast<std::int64_t>(mixBits(request.requestKey) % steps) / static_cast<std::int64_t>(steps);
+}
+
 placement_planner::permit_wait placement_planner::removeWithoutPermit(std::vector<candidate> &usable, const placement_request &request, time_point now)
 {
     if (m_rateLimits.limitedEndpoints() == 0) {
@@ -165,7 +232,7 @@
     int slots = 0;
     std::size_t usable = 0;
     for (const auto &endpoint : m_roster.ofService(service)) {
-        if (!endpoint->record.isDraining) {
+        if (!endpoint->isLeaving()) {
             shortPrompts += m_loads.loadOf(endpoint->record.id, now).shortPrompts;
             slots += endpoint->record.slots;
             ++usable;
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -64,6 +64,9 @@
     std::size_t minSampledEngines = 3;
     /// Shortest retry delay of a placement that is refused for overload; also the retry delay of a request that was queued for its full queue time.
     duration minRetryAfter = std::chrono::milliseconds(1200);
+    /// Time for which an endpoint that has said that it leaves may still get requests if all endpoints of its service leave. Shorter than the
+    /// time after which it must get no more work.
+    duration leavingGrace = std::chrono::milliseconds(1500);
     load_tracker_options loads;
     endpoint_rate_limit_options rateLimits;
 };
@@ -144,7 +147,8 @@
     duration retryAfter{};
     /// Overload: earliest predicted time to the first byte over all endpoints.
     duration predictedFirstByte{};
-    /// Overload because all endpoints limit their requests per second: time until one of them may take a request of this entry.
+    /// Overload because all endpoints limit their requests per second or have asked this entry for a pause: time until one of them may take a
+    /// request of this entry.
     std::optional<duration> timeToPermit;
 };
 
@@ -156,6 +160,10 @@
 
     [[nodiscard]] placement_decision place(const placement_request &request, time_point now);
 
+    /// Returns after what time a caller should retry if all endpoints of the service that do not leave have asked this entry for a pause:
+    /// after the first of these pauses, with a spread that differs between requests. Returns nullopt if there is an endpoint without one.
+    [[nodiscard]] std::optional<duration> retryAfterPauses(const placement_request &request, time_point now) const;
+
     /// Returns true if the request's prompt counts as long.
     [[nodiscard]] bool isLongPrompt(const placement_request &request) const;
 
@@ -221,6 +229,12 @@
     };
 
     [[nodiscard]] std::vector<candidate> candidates(const placement_request &request, time_point now) const;
+    /// Returns the listed endpoints that the request may be sent to, whatever their health.
+    [[nodiscard]] std::vector<endpoint_pointer> eligibleEndpoints(const placement_request &request, time_point now) const;
+    /// Refuses a request that no endpoint may take now. It may wait if the endpoints that it was not sent to yet pause.
+    [[nodiscard]] placement_decision refuseWithoutCandidates(const placement_request &request, time_point now) const;
+    /// Returns the time until the first pause ends if all endpoints that do not leave have asked this entry for one.
+    [[nodiscard]] std::optional<duration> timeToPauseEnd(const std::string &service, time_point now) const;
     /// Removes the endpoints whose declared limits leave no room for the request now.
     permit_wait removeWithoutPermit(std::vector<candidate> &usable, const placement_request &request, time_point now);
     [[nodiscard]] placement_decision placeByLoad(const std::vector<candidate> &usable) const;
--- a/src/evidence/decision.cpp
+++ b/src/evidence/decision.cpp
@@ -64,6 +64,12 @@
         return "rate_limit_unusable";
     case event_number::endpoint_crashed:
         return "endpoint_crashed";
+    case event_number::endpoint_leaving:
+        return "endpoint_leaving";
+    case event_number::endpoint_paused:
+        return "endpoint_paused";
+    case event_number::endpoint_notice_odd:
+        return "endpoint_notice_odd";
     case event_number::prompt_held:
         return "prompt_held";
     case event_number::prompt_freed:
--- a/src/gateway/endpoint_crash_watch.cpp
+++ b/src/gateway/endpoint_crash_watch.cpp
@@ -32,7 +32,7 @@
 
 void endpoint_crash_watch::onBroken(const endpoint_pointer &endpoint, unbegun_attempt attempt)
 {
-    if (endpoint->isRemoved || endpoint->record.isDraining) {
+    if (endpoint->isRemoved || endpoint->isLeaving()) {
         return;
     }
     const auto [position, isNew] = m_suspected.try_emplace(endpoint.get());
--- a/src/gateway/entry_message.cpp
+++ b/src/gateway/entry_message.cpp
@@ -36,8 +36,10 @@
 using packed_clearance = std::tuple<std::string, std::uint64_t, std::int64_t>;
 /// Service, parts, crashes, age and time until a trial in milliseconds.
 using packed_held = std::tuple<std::string, std::vector<std::uint64_t>, int, std::int64_t, std::int64_t>;
-/// The last members are the epoch of the log, the limits of endpoints, the demand by service, begun streams, software versions, and crashes,
-/// clearances and held parts of prompts. Entries of earlier versions skip them.
+/// ID and start of an endpoint.
+using packed_incarnation = std::tuple<std::string, std::int64_t>;
+/// The last members are the epoch of the log, the limits of endpoints, the demand by service, begun streams, software versions, crashes,
+/// clearances and held parts of prompts, and endpoints that leave. Entries of earlier versions skip them.
 using packed_message = std::tuple<int,
                                   std::int64_t,
                                   bool,
@@ -52,9 +54,15 @@
                                   std::vector<packed_version>,
                                   std::vector<packed_crash>,
                                   std::vector<packed_clearance>,
-                                  std::vector<packed_held>>;
+                                  std::vector<packed_held>,
+                                  std::vector<packed_incarnation>>;
 
-using packed_news = std::tuple<int, std::vector<packed_streams>, std::vector<packed_crash>, std::vector<packed_clearance>, std::vector<packed_held>>;
+using packed_news = std::tuple<int,
+                               std::vector<packed_streams>,
+                               std::vector<packed_crash>,
+                               std::vector<packed_clearance>,
+                               std::vector<packed_held>,
+                               std::vector<packed_incarnation>>;
 
 /// Returns the tokens of each rank without trailing zeros.
 std::vector<std::int64_t> packRanks(const ranked_tokens &tokens)
@@ -231,10 +239,29 @@
     return notices;
 }
 
+std::vector<packed_incarnation> packIncarnations(const std::vector<endpoint_incarnation> &incarnations)
+{
+    std::vector<packed_incarnation> packed;
+    for (const auto &each : incarnations) {
+        packed.emplace_back(each.id, each.startedAtMilliseconds);
+    }
+    return packed;
+}
+
+std::vector<endpoint_incarnation> unpackIncarnations(const std::vector<packed_incarnation> &packed)
+{
+    std::vector<endpoint_incarnation> incarnations;
+    for (const auto &[id, startedAt] : packed) {
+        incarnations.push_back({.id = id, .startedAtMilliseconds = startedAt});
+    }
+    return incarnations;
+}
+
 entry_message unpackMessage(const msgpack::object &packed)
 {
-    const auto [format, version, isLeaving, loads, rates, placements, peers, logEpoch, rateLimits, demand, streams, versions, crashes, clearances, held] =
-        packed.as<packed_message>();
+    const auto
+        [format, version, isLeaving, loads, rates, placements, peers, logEpoch, rateLimits, demand, streams, versions, crashes, clearances, held, leaving] =
+            packed.as<packed_message>();
     if (format != formatVersion) {
         throw shunt_error(error_kind::malformed_frame, "peer message: expected format " + std::to_string(formatVersion) + ", found " + std::to_string(format));
     }
@@ -262,13 +289,14 @@
     for (const auto &[ip, port] : peers) {
         message.peers.push_back({.ip = ip, .port = port});
     }
+    message.leaving = unpackIncarnations(leaving);
     return message;
 }
 
 entry_news unpackNews(const msgpack::object &packed)
 {
-    const auto [format, streams, crashes, clearances, held] = packed.as<packed_news>();
-    return {.begunStreams = unpackStreams(streams), .quarantine = unpackQuarantine(crashes, clearances, held)};
+    const auto [format, streams, crashes, clearances, held, leaving] = packed.as<packed_news>();
+    return {.begunStreams = unpackStreams(streams), .quarantine = unpackQuarantine(crashes, clearances, held), .leaving = unpackIncarnations(leaving)};
 }
 
 /// Returns the version of the format, which is the first member of the array.
@@ -337,7 +365,8 @@
                                  packVersions(message.streams.versions),
                                  packCrashes(message.quarantine.crashes),
                                  packClearances(message.quarantine.clearances),
-                                 packHeld(message.quarantine.held)});
+                                 packHeld(message.quarantine.held),
+                                 packIncarnations(message.leaving)});
     return {buffer.data(), buffer.size()};
 }
 
@@ -349,7 +378,8 @@
                               packStreams(news.begunStreams),
                               packCrashes(news.quarantine.crashes),
                               packClearances(news.quarantine.clearances),
-                              packHeld(news.quarantine.held)});
+                              packHeld(news.quarantine.held),
+                              packIncarnations(news.leaving)});
     return {buffer.data(), buffer.size()};
 }
 
--- a/src/gateway/entry_message.h
+++ b/src/gateway/entry_message.h
@@ -30,6 +30,8 @@
     std::int64_t logEpoch = 0;
     /// Other entries from which the sender has received a message recently.
     std::vector<socket_address> peers;
+    /// Endpoints that have said that they leave while the list does not say so.
+    std::vector<endpoint_incarnation> leaving;
 
     bool operator==(const entry_message &) const = default;
 };
@@ -39,6 +41,7 @@
 {
     std::vector<begun_stream> begunStreams;
     quarantine_digest quarantine;
+    std::vector<endpoint_incarnation> leaving;
 
     bool operator==(const entry_news &) const = default;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "dispatch/hash.h"
+#include "dispatch/turns.h"
 #include "wisteriashunt/errors.h"
 
 #include <algorithm>
@@ -29,6 +30,13 @@
 constexpr double readPeriodShare = 0.35;
 constexpr double readTimeoutShare = 0.4;
 
+/// Share of maxDrainDelay for which endpoints that say that they leave may still get requests if all of their service leave. The rest is left
+/// for the way of a request to the endpoint.
+constexpr double leavingGraceShare = 0.75;
+
+/// Most endpoints that leave in one message to peers.
+constexpr std::size_t maxLeavingInMessage = 32;
+
 /// Share of convergenceTime for which the log holds a call for new declarations. The log does not always answer a held call when there are
 /// new declarations (it does not after it has deleted its history), so a call must end early enough for the next one.
 constexpr double declarationsWaitShare = 0.65;
@@ -78,7 +86,10 @@
     : m_options(std::move(options))
     , m_loop(clock)
     , m_log(m_loop, {})
-    , m_planner(m_roster, m_options.settings.availabilityZone, {.rateLimits = {.entryKey = hashText(m_options.settings.instance)}})
+    , m_planner(m_roster,
+                m_options.settings.availabilityZone,
+                {.leavingGrace = fromSeconds(leavingGraceShare * toSeconds(m_options.settings.maxDrainDelay)),
+                 .rateLimits = {.entryKey = hashText(m_options.settings.instance)}})
     , m_streams(m_roster)
     , m_pool(m_loop, {.channel = endpointChannel})
     , m_crashes(m_loop, m_log, m_pool, {.channel = endpointChannel}, [this](const endpoint_crash &crash) { onEndpointCrash(crash); })
@@ -136,6 +147,7 @@
             announceNews();
         }
     };
+    m_context.onEndpointLeaving = [this] { announceNews(); };
     m_context.onQuarantineChange = [this] { announceQuarantineChange(); };
     m_roster.onUnavailable = [this](const endpoint_pointer &endpoint) {
         m_log.write(endpoint->isRemoved ? event_number::endpoint_gone : event_number::endpoint_draining, {{"endpoint", endpoint->record.id}});
@@ -196,7 +208,7 @@
         peer_exchange::hooks{.compose = [this] { return composeMessage(); },
                              .composeNews = [this] { return composeNews(); },
                              .onMessage = [this](const socket_address &from, const entry_message &message) { onPeerMessage(from, message); },
-                             .onNews = [this](const entry_news &news) { onPeerNews(news); }});
+                             .onNews = [this](const socket_address &from, const entry_news &news) { onPeerNews(from, news); }});
 }
 
 void gateway::onEndpointCrash(const endpoint_crash &crash)
@@ -245,8 +257,18 @@
     });
 }
 
-void gateway::onPeerNews(const entry_news &news)
+void gateway::onPeerLeavingNotices(const socket_address &from, const std::vector<endpoint_incarnation> &leaving)
+{
+    for (const auto &incarnation : leaving) {
+        if (m_roster.noteLeaving(incarnation, m_loop.now())) {
+            m_log.write(event_number::endpoint_leaving, {{"endpoint", incarnation.id}, {"peer", toString(from)}});
+        }
+    }
+}
+
+void gateway::onPeerNews(const socket_address &from, const entry_news &news)
 {
+    onPeerLeavingNotices(from, news.leaving);
     m_streams.onPeerDigest({.begun = news.begunStreams}, m_loop.now());
     m_quarantine.onPeerDigest(news.quarantine, m_loop.now());
     logQuarantineChanges();
@@ -258,6 +280,7 @@
     for (const auto &change : m_planner.onPeerDigest(toString(from), message.load, m_loop.now())) {
         logRateLimitChange(m_log, change, {.key = "peer", .value = toString(from)});
     }
+    onPeerLeavingNotices(from, message.leaving);
     m_streams.onPeerDigest(message.streams, m_loop.now());
     m_quarantine.onPeerDigest(message.quarantine, m_loop.now());
     logQuarantineChanges();
@@ -283,6 +306,8 @@
     m_counters.addGauge("caller_connections", [this] { return static_cast<double>(m_callers.all().size()); });
     m_counters.addGauge("endpoint_connections_opened", [this] { return static_cast<double>(m_pool.openedConnections()); });
     m_counters.addGauge("endpoints_listed", [this] { return static_cast<double>(m_roster.size()); });
+    m_counters.addGauge("endpoints_leaving", [this] { return static_cast<double>(m_roster.unlistedLeaving().size()); });
+    m_counters.addGauge("endpoints_paused", [this] { return static_cast<double>(m_roster.pausedEndpoints(m_loop.now())); });
     m_counters.addGauge("endpoints_with_rate_limit", [this] { return static_cast<double>(m_planner.rateLimits().limitedEndpoints()); });
     m_counters.addGauge("known_streams", [this] { return static_cast<double>(m_streams.knownStreams()); });
     m_counters.addGauge("held_prompts", [this] { return static_cast<double>(m_quarantine.heldCombinations()); });
@@ -301,12 +326,15 @@
             .load = m_planner.digest(m_loop.now()),
             .streams = m_streams.digest(m_loop.now()),
             .quarantine = m_quarantine.digest(m_loop.now()),
-            .logEpoch = m_endpointsFollower.epoch()};
+            .logEpoch = m_endpointsFollower.epoch(),
+            .leaving = nextByTurns(m_roster.unlistedLeaving(), maxLeavingInMessage, m_lastLeavingTold)};
 }
 
 entry_news gateway::composeNews()
 {
-    return {.begunStreams = m_streams.digest(m_loop.now()).begun, .quarantine = m_quarantine.digest(m_loop.now())};
+    return {.begunStreams = m_streams.digest(m_loop.now()).begun,
+            .quarantine = m_quarantine.digest(m_loop.now()),
+            .leaving = nextByTurns(m_roster.unlistedLeaving(), maxLeavingInMessage, m_lastLeavingTold)};
 }
 
 bool gateway::isReady() const
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -82,7 +82,8 @@
     void onEndpointCrash(const endpoint_crash &crash);
     void logQuarantineChanges();
     void onPeerMessage(const socket_address &from, const entry_message &message);
-    void onPeerNews(const entry_news &news);
+    void onPeerNews(const socket_address &from, const entry_news &news);
+    void onPeerLeavingNotices(const socket_address &from, const std::vector<endpoint_incarnation> &leaving);
     void addGauges();
 
     gateway_options m_options;
@@ -110,6 +111,8 @@
     std::unordered_map<caller_connection *, std::weak_ptr<request_session>> m_sessions;
     /// Endpoints whose records were removed around an outage of the log, and when the removal takes effect.
     std::map<std::string, time_point> m_pendingRemovals;
+    /// The last endpoint that was told to peers as leaving; see nextByTurns().
+    endpoint_incarnation m_lastLeavingTold;
     std::optional<time_point> m_leavingSince;
     time_point m_startedAt;
     bool m_hasPeerMessage = false;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -55,11 +55,14 @@
     /// Routes of the declarations in force; nullptr until the first are read.
     std::shared_ptr<const route_table> table;
     std::unordered_map<std::string, retry_allowance> allowances;
-    /// Endpoints whose unusable limits were logged, and when.
+    /// Endpoints of which an unusable statement was logged, and when.
     std::map<std::string, time_point> unusableLimitReports;
+    std::map<std::string, time_point> oddNoticeReports;
     admission_queue queue;
     /// Called when a stream is cut that its caller may take up at another entry at once.
     std::function<void()> onStreamCut = [] {};
+    /// Called when an endpoint has said that it leaves.
+    std::function<void()> onEndpointLeaving = [] {};
     /// Called when the quarantine of prompts may have changed.
     std::function<void()> onQuarantineChange = [] {};
     bool isQueueRunScheduled = false;
@@ -89,13 +92,13 @@
         });
     }
 
-    /// Returns whether an unusable limit of the endpoint is to be logged. Bounds the lines that endpoints with such limits cause.
-    [[nodiscard]] bool takeUnusableLimitReport(const std::string &endpointId)
+    /// Returns whether an unusable statement of the endpoint is to be logged. Bounds the lines that endpoints with such statements cause.
+    [[nodiscard]] bool takeReport(std::map<std::string, time_point> &reports, const std::string &endpointId) const
     {
         constexpr std::chrono::seconds period{10};
         const auto now = loop.now();
-        std::erase_if(unusableLimitReports, [&](const auto &report) { return now - report.second >= period; });
-        return unusableLimitReports.try_emplace(endpointId, now).second;
+        std::erase_if(reports, [&](const auto &report) { return now - report.second >= period; });
+        return reports.try_emplace(endpointId, now).second;
     }
 
     [[nodiscard]] retry_allowance &allowanceOf(const std::string &service)
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/peer_exchange.h"
 
+#include "dispatch/turns.h"
 #include "wisteriashunt/errors.h"
 
 #include <algorithm>
@@ -44,19 +45,6 @@
     return peers;
 }
 
-std::vector<socket_address> peer_exchange::peersToName()
-{
-    auto peers = livePeers();
-    if (peers.size() <= m_options.maxPeersInMessage) {
-        return peers;
-    }
-    const auto next = std::upper_bound(peers.begin(), peers.end(), m_lastNamed);
-    std::rotate(peers.begin(), next, peers.end());
-    peers.resize(m_options.maxPeersInMessage);
-    m_lastNamed = peers.back();
-    return peers;
-}
-
 void peer_exchange::discardOutdated()
 {
     const auto isOutdated = [this](const auto &peer) { return m_loop.now() - peer.second >= m_options.peerLifetime; };
@@ -76,7 +64,7 @@
     if (!m_schedule.isRoundDue(peers.size(), hasLoad, m_loop.now())) {
         return;
     }
-    message.peers = peersToName();
+    message.peers = nextByTurns(livePeers(), m_options.maxPeersInMessage, m_lastNamed);
     const auto bytes = encodeEntryMessage(message);
     m_schedule.onRound(peers.size(), bytes.size(), m_loop.now());
     send(bytes, peers);
@@ -106,7 +94,7 @@
     try {
         const auto received = decodeDatagram(bytes);
         if (const auto *news = std::get_if<entry_news>(&received)) {
-            m_hooks.onNews(*news);
+            m_hooks.onNews(from, *news);
             return;
         }
         const auto &message = std::get<entry_message>(received);
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -36,7 +36,7 @@
     using compose_hook = std::function<entry_message()>;
     using compose_news_hook = std::function<entry_news()>;
     using message_hook = std::function<void(const socket_address &from, const entry_message &message)>;
-    using news_hook = std::function<void(const entry_news &news)>;
+    using news_hook = std::function<void(const socket_address &from, const entry_news &news)>;
 
     /// What the exchange calls.
     struct hooks
@@ -63,8 +63,6 @@
     void broadcast();
     void send(std::string_view bytes, const std::vector<socket_address> &peers);
     [[nodiscard]] std::vector<socket_address> recipients() const;
-    /// Returns the next live peers to tell of, by turns.
-    [[nodiscard]] std::vector<socket_address> peersToName();
     /// Forgets peers that have not been heard of for long.
     void discardOutdated();
 
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -25,6 +25,9 @@
     const auto metadata = m_context.dialect.readResponse(head.status, head.headers);
     const bool isForOtherAttempt = !metadata.attemptId.empty() && metadata.attemptId != m_metadata.attemptId;
     const bool isUnverifiedSuccess = isSuccess(head.status) && (metadata.attemptId.empty() || !metadata.isSigned);
+    if (!isUnverifiedSuccess) {
+        noteNotices(metadata);
+    }
     if (isForOtherAttempt || isUnverifiedSuccess) {
         return false;
     }
@@ -34,6 +37,31 @@
     return true;
 }
 
+void request_session::noteNotices(const response_metadata &response)
+{
+    const auto now = m_context.loop.now();
+    const auto &asked = m_placed->endpoint->record;
+    for (const auto &odd : response.oddNotices) {
+        if (m_context.takeReport(m_context.oddNoticeReports, asked.id)) {
+            m_context.log.write(event_number::endpoint_notice_odd, {{"endpoint", asked.id}, {"value", odd}});
+        }
+    }
+    // Another endpoint has taken over the address of the one that was asked.
+    const auto answering = response.isFromOtherEndpoint ? m_context.roster.atAddress(asked.address, asked.id) : m_placed->endpoint;
+    if (answering == nullptr) {
+        return;
+    }
+    const auto incarnation = answering->incarnation();
+    if (response.isLeaving && m_context.roster.noteLeaving(incarnation, now)) {
+        m_context.log.write(event_number::endpoint_leaving, {{"endpoint", incarnation.id}, {"request", m_metadata.attemptId}});
+        m_context.onEndpointLeaving();
+    }
+    if (response.pause && m_context.roster.notePause(incarnation, *response.pause, now)) {
+        m_context.log.write(event_number::endpoint_paused,
+                            {{"endpoint", incarnation.id}, {"pause_ms", milliseconds(*response.pause)}, {"request", m_metadata.attemptId}});
+    }
+}
+
 void request_session::noteRateLimit()
 {
     if (m_response.isFromOtherEndpoint) {
@@ -42,7 +70,7 @@
     const auto now = m_context.loop.now();
     const auto &endpoint = m_placed->endpoint->record;
     if (m_response.unusableRateLimit) {
-        if (m_context.takeUnusableLimitReport(endpoint.id)) {
+        if (m_context.takeReport(m_context.unusableLimitReports, endpoint.id)) {
             m_context.log.write(event_number::rate_limit_unusable, {{"endpoint", endpoint.id}, {"value", "'" + *m_response.unusableRateLimit + "'"}});
         }
         if (!m_response.rateLimit) {
@@ -118,7 +146,9 @@
     m_context.counters.countLabelled("attempts_total", "endpoint", endpoint->record.id, std::string(toString(outcome)));
     m_context.planner.onFinished(*m_placed, m_hasFirstByte);
     m_context.onCapacityFreed();
-    if (endpoint->health.report(outcome, m_context.loop.now(), {})) {
+    // An endpoint that asks for a pause indicates load, like one that does not run a request.
+    const auto healthOutcome = m_response.pause ? endpoint_outcome::did_not_run : outcome;
+    if (endpoint->health.report(healthOutcome, m_context.loop.now(), {})) {
         m_context.log.write(event_number::endpoint_suspended, {{"endpoint", endpoint->record.id}, {"request", m_metadata.attemptId}});
         m_context.pool.closeIdle(endpoint);
     }
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -246,7 +246,7 @@
         const auto self = weak.lock();
         if (self != nullptr && self->m_ticket) {
             self->leaveQueue();
-            self->refuseUnplaced({.refusal = placement_refusal::overloaded, .retryAfter = placement_options{}.minRetryAfter});
+            self->refuseUnplaced({.refusal = placement_refusal::overloaded, .retryAfter = self->retryAfterPausesOr(placement_options{}.minRetryAfter)});
         }
     });
     if (refused.timeToPermit && m_context.loop.now() + *refused.timeToPermit < until) {
@@ -269,6 +269,11 @@
     m_context.loop.retire(std::exchange(m_selfWhileQueued, nullptr));
 }
 
+duration request_session::retryAfterPausesOr(duration otherwise) const
+{
+    return std::max(otherwise, m_context.planner.retryAfterPauses(m_placementRequest, m_context.loop.now()).value_or(otherwise));
+}
+
 void request_session::refuseUnplaced(const placement_decision &decision)
 {
     if (m_hasForwarded) {
@@ -387,7 +392,7 @@
         dispatch();
         return;
     case next_step::refuse:
-        refuse(error_kind::overloaded, defaultRetryAfter);
+        refuse(error_kind::overloaded, retryAfterPausesOr(defaultRetryAfter));
         return;
     case next_step::report_unknown:
         refuse(m_route->kind == repeatability::idempotent ? error_kind::upstream_failed : error_kind::outcome_unknown, defaultRetryAfter);
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -46,12 +46,16 @@
     [[nodiscard]] bool waitInQueue(const placement_decision &refused);
     void leaveQueue();
     void refuseUnplaced(const placement_decision &decision);
+    /// Returns the pauses that endpoints have asked for, or the given delay if an endpoint takes requests.
+    [[nodiscard]] duration retryAfterPausesOr(duration otherwise) const;
     void send(const placement &placed);
     /// Tells the quarantine and the peers if the attempt that is about to be sent is the trial of held parts.
     void tryHeldParts();
     [[nodiscard]] std::string buildRequest(const listed_endpoint &endpoint) const;
 
     [[nodiscard]] bool onHead(http_response_head &head);
+    /// Records that the endpoint says that it leaves or asks for a pause.
+    void noteNotices(const response_metadata &response);
     /// Records the limit on requests per second that the endpoint declares, or that it declares none.
     void noteRateLimit();
     void onBody(std::string_view bytes);
--- a/src/gateway/wire_dialect.h
+++ b/src/gateway/wire_dialect.h
@@ -73,6 +73,14 @@
     std::optional<double> rateLimit;
     /// Text of a declared limit that is no such number, if there is one.
     std::optional<std::string> unusableRateLimit;
+    /// The endpoint states that it leaves.
+    bool isLeaving = false;
+    /// Time for which the endpoint, which has turned the request away, wants no further requests of this entry. Positive, at most a day; the
+    /// longest if several are stated.
+    std::optional<duration> pause;
+    /// Name and text of each such statement that is out of the ordinary: not readable, and then ignored, or not a whole number of seconds up to
+    /// a day, and then used as far as it can be.
+    std::vector<std::string> oddNotices;
 };
 
 /// Functions that translate between header fields and the types above.
--- a/src/membership/endpoint_roster.cpp
+++ b/src/membership/endpoint_roster.cpp
@@ -116,6 +116,7 @@
         unlink(known);
     }
     const auto endpoint = std::make_shared<listed_endpoint>(listed_endpoint{.record = record});
+    takeNotice(*endpoint);
     m_endpoints[record.id] = endpoint;
     auto &service = m_services[record.service];
     const auto insertPosition = std::lower_bound(service.begin(), service.end(), endpoint, [](const endpoint_pointer &left, const endpoint_pointer &right) {
@@ -137,6 +138,63 @@
     return true;
 }
 
+void endpoint_roster::takeNotice(listed_endpoint &endpoint) const
+{
+    endpoint.notice = m_notices.of(endpoint.incarnation());
+}
+
+bool endpoint_roster::noteLeaving(const endpoint_incarnation &incarnation, time_point now)
+{
+    if (!m_notices.noteLeaving(incarnation, now)) {
+        return false;
+    }
+    if (const auto endpoint = find(incarnation.id); endpoint != nullptr && endpoint->incarnation() == incarnation) {
+        takeNotice(*endpoint);
+        onUnavailable(endpoint);
+    }
+    return true;
+}
+
+bool endpoint_roster::notePause(const endpoint_incarnation &incarnation, duration pause, time_point now)
+{
+    if (!m_notices.notePause(incarnation, pause, now)) {
+        return false;
+    }
+    if (const auto endpoint = find(incarnation.id); endpoint != nullptr && endpoint->incarnation() == incarnation) {
+        takeNotice(*endpoint);
+    }
+    return true;
+}
+
+std::vector<endpoint_incarnation> endpoint_roster::unlistedLeaving() const
+{
+    std::vector<endpoint_incarnation> leaving;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        if (endpoint->notice.isLeaving && !endpoint->record.isDraining) {
+            leaving.push_back(endpoint->incarnation());
+        }
+    }
+    return leaving;
+}
+
+std::size_t endpoint_roster::pausedEndpoints(time_point now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_endpoints.begin(), m_endpoints.end(), [now](const auto &each) { return each.second->notice.isPaused(now); }));
+}
+
+endpoint_pointer endpoint_roster::atAddress(const socket_address &address, const std::string &excludedId) const
+{
+    endpoint_pointer newest;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        const bool isNewer = newest == nullptr || endpoint->record.startedAtMilliseconds > newest->record.startedAtMilliseconds;
+        if (id != excludedId && endpoint->record.address == address && isNewer) {
+            newest = endpoint;
+        }
+    }
+    return newest;
+}
+
 void endpoint_roster::unlink(const endpoint_pointer &endpoint)
 {
     std::erase(m_services[endpoint->record.service], endpoint);
--- a/src/membership/endpoint_roster.h
+++ b/src/membership/endpoint_roster.h
@@ -1,6 +1,7 @@
 /// The endpoints that may take requests, as described by the platform's list and with their health as observed by this entry.
 #pragma once
 
+#include "membership/endpoint_notices.h"
 #include "net/byte_channel.h"
 #include "wisteriashunt/time.h"
 
@@ -86,6 +87,18 @@
     endpoint_health health;
     /// True if the list no longer contains the endpoint, or contains a newer incarnation of it.
     bool isRemoved = false;
+    /// What its answers have said. Set by endpoint_roster only.
+    endpoint_notice notice;
+
+    [[nodiscard]] endpoint_incarnation incarnation() const
+    {
+        return {.id = record.id, .startedAtMilliseconds = record.startedAtMilliseconds};
+    }
+    /// Whether the list or the endpoint itself says that it leaves.
+    [[nodiscard]] bool isLeaving() const
+    {
+        return record.isDraining || notice.isLeaving;
+    }
 };
 
 using endpoint_pointer = std::shared_ptr<listed_endpoint>;
@@ -101,6 +114,19 @@
     /// Removes an endpoint that the list no longer contains. Returns false if it was unknown.
     bool remove(const std::string &id);
 
+    /// Records that an incarnation has said that it leaves, or that a peer has heard it. Records of the list do not take this back. Returns
+    /// false if it was known.
+    bool noteLeaving(const endpoint_incarnation &incarnation, time_point now);
+    /// Records that an incarnation wants no requests of this entry for the time from now on. Returns false if that changes nothing.
+    bool notePause(const endpoint_incarnation &incarnation, duration pause, time_point now);
+
+    /// Returns the listed endpoints that have said that they leave although the list does not say so.
+    [[nodiscard]] std::vector<endpoint_incarnation> unlistedLeaving() const;
+    /// Returns the number of listed endpoints that have asked this entry for a pause.
+    [[nodiscard]] std::size_t pausedEndpoints(time_point now) const;
+    /// Returns the listed endpoint at an address, other than the excluded one; nullptr if there is none. The newest incarnation if there are several.
+    [[nodiscard]] endpoint_pointer atAddress(const socket_address &address, const std::string &excludedId) const;
+
     /// Returns the endpoints that the list contains for the service, including draining ones.
     [[nodiscard]] const std::vector<endpoint_pointer> &ofService(const std::string &service) const;
 
@@ -126,6 +152,9 @@
     void unlink(const endpoint_pointer &endpoint);
     [[nodiscard]] bool isOutdated(const endpoint_record &record) const;
 
+    /// Copies what is known of the incarnation to the endpoint.
+    void takeNotice(listed_endpoint &endpoint) const;
+
     /// Start time and last sequence of an incarnation. Used to recognize records that arrive after a newer one.
     struct last_record
     {
@@ -137,6 +166,7 @@
     void evictOldestRemovedRecord(const std::string &exceptId);
 
     std::map<std::string, endpoint_pointer> m_endpoints;
+    endpoint_notices m_notices;
     std::map<std::string, last_record> m_lastRecords;
     std::map<std::string, std::vector<endpoint_pointer>> m_services;
 };
