Keep sums of peers' loads by endpoint, so that a placement looks at no peer

Cause: load_tracker::loadOf() walked the digests of all peers for each endpoint, twice in a placement, and each look of the queue placed anew.

Change: peer_loads keeps sums by endpoint as digests arrive and expire. The roster keeps the endpoints of a service in the order that placement needs, with the hash of the ID, and the slowness of an endpoint is looked up once.

Ruled out: a smaller sample of endpoints, which would change decisions.

--- a/src/dispatch/endpoint_rate_limits.cpp
+++ b/src/dispatch/endpoint_rate_limits.cpp
@@ -1,6 +1,6 @@
 #include "dispatch/endpoint_rate_limits.h"
 
-#include "dispatch/hash.h"
+#include "membership/hash.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/dispatch/load_tracker.cpp
+++ b/src/dispatch/load_tracker.cpp
@@ -35,6 +35,7 @@
 
 load_tracker::load_tracker(const load_tracker_options &options)
     : m_options(options)
+    , m_peers(options.digestLifetime, options.recentTokensDecayTime)
 {
 }
 
@@ -138,46 +139,40 @@
     for (const auto &placed : digest.placements) {
         recordPart(placed.part, placed.endpointId, now);
     }
-    m_peers[peer] = {.digest = std::move(digest), .receivedAt = now};
+    m_peers.onDigest(peer, std::move(digest), now);
 }
 
-std::size_t load_tracker::liveEntries(time_point now) const
+std::size_t load_tracker::liveEntries(time_point now)
 {
-    return 1 + static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &peer) {
-               return now - peer.second.receivedAt < m_options.digestLifetime;
-           }));
+    m_peers.expire(now);
+    return 1 + m_peers.size();
 }
 
-endpoint_load load_tracker::loadOf(const std::string &endpointId, time_point now) const
+endpoint_load load_tracker::loadOf(const std::string &endpointId, time_point now)
 {
+    m_peers.expire(now);
     endpoint_load sum;
     double recent = 0;
-    const auto add = [&sum](const endpoint_load &load) {
-        sum.waiting += load.waiting;
-        sum.waitingTokens.add(load.waitingTokens);
-        sum.shortPrompts += load.shortPrompts;
-        sum.longPrompts += load.longPrompts;
-        sum.longPromptTokens.add(load.longPromptTokens);
-    };
     if (const auto own = m_endpoints.find(endpointId); own != m_endpoints.end()) {
-        add(own->second.load);
+        sum.add(own->second.load);
         recent += decayed(own->second.recentTokens, now - own->second.recentAt);
     }
-    for (const auto &[name, peer] : m_peers) {
-        const auto load = peer.digest.endpoints.find(endpointId);
-        if (now - peer.receivedAt < m_options.digestLifetime && load != peer.digest.endpoints.end()) {
-            add(load->second);
-            recent += decayed(static_cast<double>(load->second.recentTokens), now - peer.receivedAt);
-        }
-    }
+    recent += m_peers.addTo(sum, endpointId, now);
     sum.recentTokens = static_cast<std::int64_t>(recent);
     return sum;
 }
 
+int load_tracker::shortPromptsAt(const std::string &endpointId, time_point now)
+{
+    m_peers.expire(now);
+    const auto own = m_endpoints.find(endpointId);
+    return (own == m_endpoints.end() ? 0 : own->second.load.shortPrompts) + m_peers.shortPromptsAt(endpointId);
+}
+
 double load_tracker::slownessOf(const std::string &endpointId, time_point now) const
 {
     const auto known = m_endpoints.find(endpointId);
-    if (known == m_endpoints.end()) {
+    if (known == m_endpoints.end() || known->second.slowness == 1) {
         return 1;
     }
     return 1 + (known->second.slowness - 1) * std::exp2(-toSeconds(now - known->second.slownessAt) / slownessHalfLifeSeconds);
@@ -202,16 +197,10 @@
 
 double load_tracker::shortPromptTokensPerSecond(const std::string &service, time_point now)
 {
+    m_peers.expire(now);
     auto &own = m_shortPromptRates[service];
     decayRate(own, now);
-    double sum = own.tokensPerSecond;
-    for (const auto &[name, peer] : m_peers) {
-        const auto rate = peer.digest.shortPromptTokensPerSecond.find(service);
-        if (now - peer.receivedAt < m_options.digestLifetime && rate != peer.digest.shortPromptTokensPerSecond.end()) {
-            sum += rate->second;
-        }
-    }
-    return sum;
+    return own.tokensPerSecond + m_peers.shortPromptTokensPerSecond(service);
 }
 
 void load_tracker::decayRate(token_rate &rate, time_point now) const
--- a/src/dispatch/load_tracker.h
+++ b/src/dispatch/load_tracker.h
@@ -1,8 +1,8 @@
 /// What an entry knows of the endpoints: the work of all entries there, the observed speed, and the prompt parts that they have cached.
 #pragma once
 
-#include "dispatch/endpoint_rate_limits.h"
-#include "dispatch/ranked_tokens.h"
+#include "dispatch/load_digest.h"
+#include "dispatch/peer_loads.h"
 #include "gateway/wire_dialect.h"
 #include "wisteriashunt/time.h"
 
@@ -14,53 +14,6 @@
 namespace wisteriashunt
 {
 
-/// Work queued or running at one endpoint.
-struct endpoint_load
-{
-    /// Requests that were sent and whose answers have not begun.
-    int waiting = 0;
-    /// Uncached prompt tokens of the waiting requests.
-    ranked_tokens waitingTokens;
-    /// Short-prompt requests, waiting or running.
-    int shortPrompts = 0;
-    /// Long-prompt requests, waiting or running.
-    int longPrompts = 0;
-    /// Uncached prompt tokens of the long-prompt requests, waiting or running.
-    ranked_tokens longPromptTokens;
-    /// Uncached prompt tokens that were sent recently, of long and short prompts. Decays exponentially with the time constant
-    /// load_tracker_options::recentTokensDecayTime.
-    std::int64_t recentTokens = 0;
-
-    [[nodiscard]] int total() const
-    {
-        return shortPrompts + longPrompts;
-    }
-    bool operator==(const endpoint_load &) const = default;
-};
-
-/// A shared part of a prompt that was sent to an endpoint, which is then expected to have it cached.
-struct part_placement
-{
-    std::uint64_t part = 0;
-    std::string endpointId;
-
-    bool operator==(const part_placement &) const = default;
-};
-
-/// The load of one entry, as it reports it to its peers. Loads and rates replace those of the previous digest; placements accumulate.
-struct load_digest
-{
-    std::map<std::string, endpoint_load> endpoints;
-    /// Prompt tokens of short-prompt requests per second, by service.
-    std::map<std::string, double> shortPromptTokensPerSecond;
-    /// Placements since the last digest.
-    std::vector<part_placement> placements;
-    /// Limits that endpoints declare. placement_planner adds them.
-    rate_limit_digest rateLimits;
-
-    bool operator==(const load_digest &) const = default;
-};
-
 /// Settings of a load_tracker.
 struct load_tracker_options
 {
@@ -108,10 +61,12 @@
     [[nodiscard]] load_digest digest(time_point now);
     void onPeerDigest(const std::string &peer, load_digest digest, time_point now);
     /// Returns the number of entries with a valid digest, including this one.
-    [[nodiscard]] std::size_t liveEntries(time_point now) const;
+    [[nodiscard]] std::size_t liveEntries(time_point now);
 
     /// Returns the load of an endpoint, summed over all entries.
-    [[nodiscard]] endpoint_load loadOf(const std::string &endpointId, time_point now) const;
+    [[nodiscard]] endpoint_load loadOf(const std::string &endpointId, time_point now);
+    /// Returns endpoint_load::shortPrompts of the same load.
+    [[nodiscard]] int shortPromptsAt(const std::string &endpointId, time_point now);
     /// Returns the factor by which first bytes of the endpoint take longer than predicted.
     [[nodiscard]] double slownessOf(const std::string &endpointId, time_point now) const;
     /// Returns the tokens of the prompt's shared parts that the endpoint is expected to have cached. A part is of use only if all parts
@@ -137,11 +92,6 @@
         double slowness = 1;
         time_point slownessAt;
     };
-    struct peer_state
-    {
-        load_digest digest;
-        time_point receivedAt;
-    };
     struct token_rate
     {
         double tokensPerSecond = 0;
@@ -154,7 +104,7 @@
 
     load_tracker_options m_options;
     std::unordered_map<std::string, endpoint_state> m_endpoints;
-    std::map<std::string, peer_state> m_peers;
+    peer_loads m_peers;
     /// Prompt tokens of this entry's short-prompt requests, by service.
     std::unordered_map<std::string, token_rate> m_shortPromptRates;
     std::vector<part_placement> m_newPlacements;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -1,6 +1,6 @@
 #include "dispatch/placement.h"
 
-#include "dispatch/hash.h"
+#include "membership/hash.h"
 
 #include <algorithm>
 #include <cmath>
@@ -87,7 +87,8 @@
     std::vector<endpoint_pointer> leaving;
     bool doAllLeave = true;
     for (const auto &endpoint : m_roster.ofService(request.service)) {
-        const auto &[record, health, isRemoved, notice] = *endpoint;
+        const auto &record = endpoint->record;
+        const auto &notice = endpoint->notice;
         if (record.isDraining || (request.softwareVersion && record.softwareVersion != *request.softwareVersion)) {
             continue;
         }
@@ -101,14 +102,15 @@
     return doAllLeave ? leaving : eligible;
 }
 
-std::vector<placement_planner::candidate> placement_planner::candidates(const placement_request &request, time_point now) const
+std::vector<placement_planner::candidate> placement_planner::candidates(const placement_request &request, time_point now)
 {
     const health_options healthOptions;
     std::vector<candidate> usable;
     std::vector<candidate> unhealthy;
+    usable.reserve(m_roster.ofService(request.service).size());
     for (const auto &endpoint : eligibleEndpoints(request, now)) {
         const auto &id = endpoint->record.id;
-        candidate found{.endpoint = endpoint, .load = m_loads.loadOf(id, now), .order = mixBits(hashText(id))};
+        candidate found{.endpoint = endpoint, .load = m_loads.loadOf(id, now), .slowness = m_loads.slownessOf(id, now), .order = endpoint->orderKey};
         const bool isUnhealthy = endpoint->health.isSuspended(now) || endpoint->health.isFailing(healthOptions);
         (isUnhealthy ? unhealthy : usable).push_back(std::move(found));
     }
@@ -116,13 +118,17 @@
     if (static_cast<double>(usable.size()) < minUsableShare * static_cast<double>(usable.size() + unhealthy.size())) {
         usable.insert(usable.end(), unhealthy.begin(), unhealthy.end());
     }
-    std::sort(usable.begin(), usable.end(), [](const candidate &left, const candidate &right) { return left.order < right.order; });
+    const auto isEarlier = [](const candidate &left, const candidate &right) { return left.order < right.order; };
+    // The roster has this order; unhealthy endpoints that were appended do not.
+    if (!std::is_sorted(usable.begin(), usable.end(), isEarlier)) {
+        std::sort(usable.begin(), usable.end(), isEarlier);
+    }
     return usable;
 }
 
-double placement_planner::millisecondsToPrefill(const std::string &endpointId, std::int64_t tokens, time_point now) const
+double placement_planner::millisecondsToPrefill(const candidate &target, std::int64_t tokens) const
 {
-    return m_loads.slownessOf(endpointId, now) * static_cast<double>(tokens) / m_options.prefillTokensPerMillisecond;
+    return target.slowness * static_cast<double>(tokens) / m_options.prefillTokensPerMillisecond;
 }
 
 placement_decision placement_planner::place(const placement_request &request, time_point now)
@@ -233,7 +239,7 @@
     std::size_t usable = 0;
     for (const auto &endpoint : m_roster.ofService(service)) {
         if (!endpoint->isLeaving()) {
-            shortPrompts += m_loads.loadOf(endpoint->record.id, now).shortPrompts;
+            shortPrompts += m_loads.shortPromptsAt(endpoint->record.id, now);
             slots += endpoint->record.slots;
             ++usable;
         }
@@ -262,7 +268,7 @@
         const auto position = static_cast<std::size_t>(&each - usable.data());
         const double slots = std::max(1, each.endpoint->record.slots);
         const double fill = each.load.total() / slots;
-        const double prefillMilliseconds = millisecondsToPrefill(each.endpoint->record.id, each.load.waitingTokens.total() + request.promptTokens, now);
+        const double prefillMilliseconds = millisecondsToPrefill(each, each.load.waitingTokens.total() + request.promptTokens);
         // An engine outside the group may start the prefill of a long prompt at any time, which delays short prompts there.
         constexpr double outsideGroupMilliseconds = 250;
         constexpr double perLongPromptMilliseconds = 30;
@@ -273,7 +279,7 @@
             + failurePenalty * fillMilliseconds * each.endpoint->health.failureShare();
     };
     const auto best = std::min_element(usable.begin(), usable.end(), [&](const candidate &left, const candidate &right) { return cost(left) < cost(right); });
-    const double wait = millisecondsToPrefill(best->endpoint->record.id, best->load.waitingTokens.total() + request.promptTokens, now);
+    const double wait = millisecondsToPrefill(*best, best->load.waitingTokens.total() + request.promptTokens);
     return {.chosen = {.endpoint = best->endpoint,
                        .uncachedTokens = request.promptTokens,
                        .rank = request.rank,
@@ -321,8 +327,8 @@
 {
     const auto &id = target.endpoint->record.id;
     const auto uncached = std::max<std::int64_t>(request.promptTokens - m_loads.cachedTokens(request.prompt, id, now), 0);
-    const double prefillMilliseconds = millisecondsToPrefill(id, uncached, now);
-    const double wait = millisecondsToPrefill(id, tokensAhead(target.load.waitingTokens, request.rank) + uncached, now);
+    const double prefillMilliseconds = millisecondsToPrefill(target, uncached);
+    const double wait = millisecondsToPrefill(target, tokensAhead(target.load.waitingTokens, request.rank) + uncached);
     const auto predicted = fromMilliseconds(m_options.baseFirstByteMilliseconds + wait);
     const double slots = std::max(1, target.endpoint->record.slots);
     // If every engine streams answers to short prompts, the longest prompts would exceed the limit everywhere and never be placed.
@@ -358,7 +364,7 @@
             .hasShortStreams = hasShortStreams};
 }
 
-void placement_planner::restrictToSample(const placement_request &request, std::vector<long_prompt_option> &options, time_point now) const
+void placement_planner::restrictToSample(const placement_request &request, std::vector<long_prompt_option> &options, time_point now)
 {
     const auto key = affinityKey(request);
     std::vector<std::pair<std::uint64_t, long_prompt_option *>> drawn;
@@ -467,7 +473,7 @@
     return changes;
 }
 
-std::size_t placement_planner::liveEntries(time_point now) const
+std::size_t placement_planner::liveEntries(time_point now)
 {
     return m_loads.liveEntries(now);
 }
@@ -477,7 +483,7 @@
     return m_rateLimits.census().entries(now);
 }
 
-endpoint_load placement_planner::loadOf(const std::string &endpointId, time_point now) const
+endpoint_load placement_planner::loadOf(const std::string &endpointId, time_point now)
 {
     return m_loads.loadOf(endpointId, now);
 }
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -181,10 +181,10 @@
     /// See load_tracker.
     [[nodiscard]] load_digest digest(time_point now);
     std::vector<rate_limit_change> onPeerDigest(const std::string &peer, load_digest digest, time_point now);
-    [[nodiscard]] std::size_t liveEntries(time_point now) const;
+    [[nodiscard]] std::size_t liveEntries(time_point now);
     /// Returns the number of entries among which limits that hold for all of them are divided; see entry_census.
     [[nodiscard]] std::size_t sharingEntries(time_point now) const;
-    [[nodiscard]] endpoint_load loadOf(const std::string &endpointId, time_point now) const;
+    [[nodiscard]] endpoint_load loadOf(const std::string &endpointId, time_point now);
     [[nodiscard]] std::size_t trackedEndpoints() const;
 
     /// Returns the number of engines of the service on which short prompts are concentrated.
@@ -205,6 +205,8 @@
     {
         endpoint_pointer endpoint;
         endpoint_load load;
+        /// See load_tracker::slownessOf().
+        double slowness = 1;
         std::uint64_t order = 0;
     };
 
@@ -228,7 +230,7 @@
         duration ofAllEntries{};
     };
 
-    [[nodiscard]] std::vector<candidate> candidates(const placement_request &request, time_point now) const;
+    [[nodiscard]] std::vector<candidate> candidates(const placement_request &request, time_point now);
     /// Returns the listed endpoints that the request may be sent to, whatever their health.
     [[nodiscard]] std::vector<endpoint_pointer> eligibleEndpoints(const placement_request &request, time_point now) const;
     /// Refuses a request that no endpoint may take now. It may wait if the endpoints that it was not sent to yet pause.
@@ -246,7 +248,7 @@
     assess(const placement_request &request, const candidate &target, bool hasShortStreams, bool doAllHaveShortStreams, time_point now) const;
     /// Rules out engines outside the prompt's sample, which is drawn by a hash that is the same at every entry, so that a new part is sent to
     /// the same few engines from all of them.
-    void restrictToSample(const placement_request &request, std::vector<long_prompt_option> &options, time_point now) const;
+    void restrictToSample(const placement_request &request, std::vector<long_prompt_option> &options, time_point now);
     /// Longest predicted time to the first byte with which the request is still sent, lengthened by waitFactor.
     [[nodiscard]] duration maxFirstByte(const placement_request &request, double prefillMilliseconds, double waitFactor) const;
     /// Limit on endpoint_load::recentTokens for sending a long prompt to an engine that streams answers to short prompts of the service. These
@@ -255,7 +257,7 @@
     void noteLongestPause(const placement_request &request, time_point now);
     /// Returns the tokens that count as ahead of a long prompt of the rank.
     [[nodiscard]] std::int64_t tokensAhead(const ranked_tokens &tokens, int rank) const;
-    [[nodiscard]] double millisecondsToPrefill(const std::string &endpointId, std::int64_t tokens, time_point now) const;
+    [[nodiscard]] double millisecondsToPrefill(const candidate &target, std::int64_t tokens) const;
 
     const endpoint_roster &m_roster;
     std::string m_availabilityZone;
--- a/src/dispatch/ranked_tokens.h
+++ b/src/dispatch/ranked_tokens.h
@@ -25,10 +25,11 @@
     {
         m_tokens[static_cast<std::size_t>(std::clamp(rank, 0, lowestRank))] += tokens;
     }
-    void add(const ranked_tokens &other)
+    /// Adds the tokens of each rank, or subtracts them if sign is -1.
+    void add(const ranked_tokens &other, int sign = 1)
     {
         for (std::size_t i = 0; i < m_tokens.size(); ++i) {
-            m_tokens[i] += other.m_tokens[i];
+            m_tokens[i] += sign * other.m_tokens[i];
         }
     }
 
--- a/src/dispatch/stream_versions.cpp
+++ b/src/dispatch/stream_versions.cpp
@@ -1,6 +1,6 @@
 #include "dispatch/stream_versions.h"
 
-#include "dispatch/hash.h"
+#include "membership/hash.h"
 
 #include <algorithm>
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,7 +1,7 @@
 #include "gateway/gateway.h"
 
-#include "dispatch/hash.h"
 #include "dispatch/turns.h"
+#include "membership/hash.h"
 #include "wisteriashunt/errors.h"
 
 #include <algorithm>
--- a/src/membership/endpoint_roster.cpp
+++ b/src/membership/endpoint_roster.cpp
@@ -1,5 +1,7 @@
 #include "membership/endpoint_roster.h"
 
+#include "membership/hash.h"
+
 #include <algorithm>
 
 namespace wisteriashunt
@@ -115,13 +117,12 @@
         }
         unlink(known);
     }
-    const auto endpoint = std::make_shared<listed_endpoint>(listed_endpoint{.record = record});
+    const auto endpoint = std::make_shared<listed_endpoint>(listed_endpoint{.record = record, .orderKey = mixBits(hashText(record.id))});
     takeNotice(*endpoint);
     m_endpoints[record.id] = endpoint;
     auto &service = m_services[record.service];
-    const auto insertPosition = std::lower_bound(service.begin(), service.end(), endpoint, [](const endpoint_pointer &left, const endpoint_pointer &right) {
-        return left->record.id < right->record.id;
-    });
+    const auto insertPosition = std::lower_bound(
+        service.begin(), service.end(), endpoint, [](const endpoint_pointer &left, const endpoint_pointer &right) { return left->orderKey < right->orderKey; });
     service.insert(insertPosition, endpoint);
     return true;
 }
--- a/src/membership/endpoint_roster.h
+++ b/src/membership/endpoint_roster.h
@@ -89,6 +89,8 @@
     bool isRemoved = false;
     /// What its answers have said. Set by endpoint_roster only.
     endpoint_notice notice;
+    /// Hash of the ID, by which the endpoints of a service are ordered.
+    std::uint64_t orderKey = 0;
 
     [[nodiscard]] endpoint_incarnation incarnation() const
     {
@@ -103,7 +105,7 @@
 
 using endpoint_pointer = std::shared_ptr<listed_endpoint>;
 
-/// All endpoints, by service. Endpoints of a service are ordered by ID, so the order is the same at every entry.
+/// All endpoints, by service. Endpoints of a service are ordered by a hash of their ID, so the order is the same at every entry.
 class endpoint_roster
 {
 public:
