Tell loads between zones through relays in fleets of more than 32 peers

Cause: at 103 entries each told 102 others, a round each 0.41 s. Loads were half a second old when they were used, and four fifths of the bytes crossed zones.

Change: zone_exchange (src/dispatch). An entry tells its own zone directly each 80 ms. The two entries of a zone with the fastest links send the zone's sum to the relays of other zones, and the sum of the other zones to their own, each 100 ms. Messages between entries of different zones carry no loads then and are 0.8 s apart; while endpoints declare limits, or no relay is known, they are as often as before and whole. There is no election: each entry decides by what it heard whether it is a relay, and more or fewer relays cost bytes or age only. Fleets of up to 33 entries do as before. Entries of the version before get whole messages.

Tests: ctest -R zone_exchange plays 105 entries, and kills, freezes, restarts and cuts relays in series; loads are whole again afterwards, and never more than twice too high meanwhile.

--- a/src/dispatch/load_tracker.cpp
+++ b/src/dispatch/load_tracker.cpp
@@ -13,6 +13,9 @@
 constexpr double minSlowness = 0.7;
 constexpr double maxSlowness = 6;
 
+/// Name under which the sum of other zones is kept among the peers' digests.
+const std::string relayedName = "other zones";
+
 /// Half-life of an endpoint's observed slowness. Without decay, an endpoint that was slow once would get no more work and never recover.
 constexpr double slownessHalfLifeSeconds = 2;
 
@@ -142,10 +145,15 @@
     m_peers.onDigest(peer, std::move(digest), now);
 }
 
+void load_tracker::onRelayedLoad(load_digest digest, time_point now)
+{
+    onPeerDigest(relayedName, std::move(digest), now);
+}
+
 std::size_t load_tracker::liveEntries(time_point now)
 {
     m_peers.expire(now);
-    return 1 + m_peers.size();
+    return 1 + m_peers.size() - (m_peers.contains(relayedName) ? 1 : 0);
 }
 
 endpoint_load load_tracker::loadOf(const std::string &endpointId, time_point now)
--- a/src/dispatch/load_tracker.h
+++ b/src/dispatch/load_tracker.h
@@ -60,6 +60,8 @@
     /// Returns this entry's own load, to be sent to its peers. Also discards the state of endpoints that are no longer in use.
     [[nodiscard]] load_digest digest(time_point now);
     void onPeerDigest(const std::string &peer, load_digest digest, time_point now);
+    /// Records the sum of the loads of entries in other zones, which replaces the previous one.
+    void onRelayedLoad(load_digest digest, time_point now);
     /// Returns the number of entries with a valid digest, including this one.
     [[nodiscard]] std::size_t liveEntries(time_point now);
 
--- a/src/dispatch/peer_loads.cpp
+++ b/src/dispatch/peer_loads.cpp
@@ -80,6 +80,23 @@
     return decayed(known->second.recentTokens, now - known->second.recentAt);
 }
 
+load_digest peer_loads::sum(time_point now)
+{
+    expire(now);
+    load_digest result;
+    for (const auto &[id, known] : m_sums) {
+        auto load = known.load;
+        load.recentTokens = static_cast<std::int64_t>(decayed(known.recentTokens, now - known.recentAt));
+        if (load != endpoint_load{}) {
+            result.endpoints.emplace(id, load);
+        }
+    }
+    for (const auto &[service, rate] : m_rates) {
+        result.shortPromptTokensPerSecond[service] = rate.tokensPerSecond;
+    }
+    return result;
+}
+
 int peer_loads::shortPromptsAt(const std::string &endpointId) const
 {
     const auto known = m_sums.find(endpointId);
--- a/src/dispatch/peer_loads.h
+++ b/src/dispatch/peer_loads.h
@@ -34,6 +34,12 @@
     [[nodiscard]] int shortPromptsAt(const std::string &endpointId) const;
     /// Returns the prompt tokens of short-prompt requests per second at all peers.
     [[nodiscard]] double shortPromptTokensPerSecond(const std::string &service) const;
+    /// Returns the sum of all digests, with recentTokens decayed and without placements and limits.
+    [[nodiscard]] load_digest sum(time_point now);
+    [[nodiscard]] bool contains(const std::string &peer) const
+    {
+        return m_peers.contains(peer);
+    }
     /// Returns the number of peers with a digest.
     [[nodiscard]] std::size_t size() const
     {
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -473,6 +473,11 @@
     return changes;
 }
 
+void placement_planner::onRelayedLoad(load_digest digest, time_point now)
+{
+    m_loads.onRelayedLoad(std::move(digest), now);
+}
+
 std::size_t placement_planner::liveEntries(time_point now)
 {
     return m_loads.liveEntries(now);
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -181,6 +181,8 @@
     /// See load_tracker.
     [[nodiscard]] load_digest digest(time_point now);
     std::vector<rate_limit_change> onPeerDigest(const std::string &peer, load_digest digest, time_point now);
+    /// See load_tracker.
+    void onRelayedLoad(load_digest digest, time_point now);
     [[nodiscard]] std::size_t liveEntries(time_point now);
     /// Returns the number of entries among which limits that hold for all of them are divided; see entry_census.
     [[nodiscard]] std::size_t sharingEntries(time_point now) const;
--- a/src/gateway/entry_message.cpp
+++ b/src/gateway/entry_message.cpp
@@ -13,9 +13,10 @@
 namespace
 {
 
-/// Versions of the formats of messages and news. Datagrams of another version are rejected.
+/// Versions of the formats of messages, news and loads of zones. Datagrams of another version are rejected.
 constexpr int formatVersion = 2;
 constexpr int newsFormatVersion = 3;
+constexpr int zoneLoadsFormatVersion = 4;
 
 /// The last two members hold tokens by rank and replace the totals, which are for entries of earlier versions.
 using packed_load = std::tuple<std::string, int, std::int64_t, int, int, std::int64_t, std::int64_t, std::vector<std::int64_t>, std::vector<std::int64_t>>;
@@ -39,7 +40,8 @@
 /// ID and start of an endpoint.
 using packed_incarnation = std::tuple<std::string, std::int64_t>;
 /// The last members are the epoch of the log, the limits of endpoints, the demand by service, begun streams, software versions, crashes,
-/// clearances and held parts of prompts, and endpoints that leave. Entries of earlier versions skip them.
+/// clearances and held parts of prompts, endpoints that leave, and the sender's zone, link and whether it is a relay. Entries of earlier versions skip them.
+using packed_place = std::tuple<std::string, double, bool>;
 using packed_message = std::tuple<int,
                                   std::int64_t,
                                   bool,
@@ -55,8 +57,10 @@
                                   std::vector<packed_crash>,
                                   std::vector<packed_clearance>,
                                   std::vector<packed_held>,
-                                  std::vector<packed_incarnation>>;
+                                  std::vector<packed_incarnation>,
+                                  packed_place>;
 
+using packed_zone_loads = std::tuple<int, std::vector<std::string>, bool, std::vector<packed_load>, std::vector<packed_rate>, std::vector<packed_placement>>;
 using packed_news = std::tuple<int,
                                std::vector<packed_streams>,
                                std::vector<packed_crash>,
@@ -257,29 +261,82 @@
     return incarnations;
 }
 
-entry_message unpackMessage(const msgpack::object &packed)
+std::vector<packed_load> packLoads(const load_digest &digest)
 {
-    const auto
-        [format, version, isLeaving, loads, rates, placements, peers, logEpoch, rateLimits, demand, streams, versions, crashes, clearances, held, leaving] =
-            packed.as<packed_message>();
-    if (format != formatVersion) {
-        throw shunt_error(error_kind::malformed_frame, "peer message: expected format " + std::to_string(formatVersion) + ", found " + std::to_string(format));
+    std::vector<packed_load> loads;
+    for (const auto &[id, load] : digest.endpoints) {
+        loads.emplace_back(id,
+                           load.waiting,
+                           load.waitingTokens.total(),
+                           load.shortPrompts,
+                           load.longPrompts,
+                           load.longPromptTokens.total(),
+                           load.recentTokens,
+                           packRanks(load.waitingTokens),
+                           packRanks(load.longPromptTokens));
     }
-    entry_message message{.declarationsVersion = version, .isLeaving = isLeaving, .logEpoch = logEpoch};
+    return loads;
+}
+
+std::vector<packed_placement> packPlacements(const load_digest &digest)
+{
+    std::vector<packed_placement> placements;
+    for (const auto &placed : digest.placements) {
+        placements.emplace_back(placed.part, placed.endpointId);
+    }
+    return placements;
+}
+
+load_digest unpackLoad(const std::vector<packed_load> &loads, const std::vector<packed_rate> &rates, const std::vector<packed_placement> &placements)
+{
+    load_digest digest;
     for (const auto &[id, waiting, tokens, shortPrompts, longPrompts, longPromptTokens, recentTokens, waitingByRank, longByRank] : loads) {
-        message.load.endpoints[id] = {.waiting = waiting,
-                                      .waitingTokens = unpackRanks(waitingByRank, tokens),
-                                      .shortPrompts = shortPrompts,
-                                      .longPrompts = longPrompts,
-                                      .longPromptTokens = unpackRanks(longByRank, longPromptTokens),
-                                      .recentTokens = recentTokens};
+        digest.endpoints[id] = {.waiting = waiting,
+                                .waitingTokens = unpackRanks(waitingByRank, tokens),
+                                .shortPrompts = shortPrompts,
+                                .longPrompts = longPrompts,
+                                .longPromptTokens = unpackRanks(longByRank, longPromptTokens),
+                                .recentTokens = recentTokens};
     }
     for (const auto &[service, rate] : rates) {
-        message.load.shortPromptTokensPerSecond[service] = rate;
+        digest.shortPromptTokensPerSecond[service] = rate;
     }
     for (const auto &[part, id] : placements) {
-        message.load.placements.push_back({.part = part, .endpointId = id});
+        digest.placements.push_back({.part = part, .endpointId = id});
     }
+    return digest;
+}
+
+zone_loads unpackZoneLoads(const msgpack::object &packed)
+{
+    const auto [format, zones, isForMembers, loads, rates, placements] = packed.as<packed_zone_loads>();
+    return {.zones = zones, .isForMembers = isForMembers, .load = unpackLoad(loads, rates, placements)};
+}
+
+entry_message unpackMessage(const msgpack::object &packed)
+{
+    const auto [format,
+                version,
+                isLeaving,
+                loads,
+                rates,
+                placements,
+                peers,
+                logEpoch,
+                rateLimits,
+                demand,
+                streams,
+                versions,
+                crashes,
+                clearances,
+                held,
+                leaving,
+                place] = packed.as<packed_message>();
+    if (format != formatVersion) {
+        throw shunt_error(error_kind::malformed_frame, "peer message: expected format " + std::to_string(formatVersion) + ", found " + std::to_string(format));
+    }
+    entry_message message{.declarationsVersion = version, .isLeaving = isLeaving, .logEpoch = logEpoch};
+    message.load = unpackLoad(loads, rates, placements);
     message.load.rateLimits.notices = unpackRateLimits(rateLimits);
     for (const auto &[service, rate] : demand) {
         message.load.rateLimits.demand[service] = notNegative(rate);
@@ -290,6 +347,8 @@
         message.peers.push_back({.ip = ip, .port = port});
     }
     message.leaving = unpackIncarnations(leaving);
+    const auto &[zone, link, isRelay] = place;
+    message.place = {.availabilityZone = zone, .linkBytesPerSecond = notNegative(link), .isRelay = isRelay};
     return message;
 }
 
@@ -326,23 +385,9 @@
 
 std::string encodeEntryMessage(const entry_message &message)
 {
-    std::vector<packed_load> loads;
-    for (const auto &[id, load] : message.load.endpoints) {
-        loads.emplace_back(id,
-                           load.waiting,
-                           load.waitingTokens.total(),
-                           load.shortPrompts,
-                           load.longPrompts,
-                           load.longPromptTokens.total(),
-                           load.recentTokens,
-                           packRanks(load.waitingTokens),
-                           packRanks(load.longPromptTokens));
-    }
+    const auto loads = packLoads(message.load);
     const std::vector<packed_rate> rates(message.load.shortPromptTokensPerSecond.begin(), message.load.shortPromptTokensPerSecond.end());
-    std::vector<packed_placement> placements;
-    for (const auto &placed : message.load.placements) {
-        placements.emplace_back(placed.part, placed.endpointId);
-    }
+    const auto placements = packPlacements(message.load);
     std::vector<packed_address> peers;
     for (const auto &peer : message.peers) {
         peers.emplace_back(peer.ip, peer.port);
@@ -366,7 +411,8 @@
                                  packCrashes(message.quarantine.crashes),
                                  packClearances(message.quarantine.clearances),
                                  packHeld(message.quarantine.held),
-                                 packIncarnations(message.leaving)});
+                                 packIncarnations(message.leaving),
+                                 {message.place.availabilityZone, message.place.linkBytesPerSecond, message.place.isRelay}});
     return {buffer.data(), buffer.size()};
 }
 
@@ -383,18 +429,36 @@
     return {buffer.data(), buffer.size()};
 }
 
+std::string encodeZoneLoads(const zone_loads &loads)
+{
+    const auto &rates = loads.load.shortPromptTokensPerSecond;
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer,
+                  packed_zone_loads{zoneLoadsFormatVersion,
+                                    loads.zones,
+                                    loads.isForMembers,
+                                    packLoads(loads.load),
+                                    std::vector<packed_rate>(rates.begin(), rates.end()),
+                                    packPlacements(loads.load)});
+    return {buffer.data(), buffer.size()};
+}
+
 entry_message decodeEntryMessage(std::string_view bytes)
 {
     return unpackDatagram(bytes, unpackMessage);
 }
 
-std::variant<entry_message, entry_news> decodeDatagram(std::string_view bytes)
+std::variant<entry_message, entry_news, zone_loads> decodeDatagram(std::string_view bytes)
 {
-    return unpackDatagram(bytes, [](const msgpack::object &packed) -> std::variant<entry_message, entry_news> {
-        if (formatOf(packed) == newsFormatVersion) {
+    return unpackDatagram(bytes, [](const msgpack::object &packed) -> std::variant<entry_message, entry_news, zone_loads> {
+        switch (formatOf(packed)) {
+        case newsFormatVersion:
             return unpackNews(packed);
+        case zoneLoadsFormatVersion:
+            return unpackZoneLoads(packed);
+        default:
+            return unpackMessage(packed);
         }
-        return unpackMessage(packed);
     });
 }
 
--- a/src/gateway/entry_message.h
+++ b/src/gateway/entry_message.h
@@ -7,6 +7,7 @@
 #include "dispatch/placement.h"
 #include "dispatch/prompt_quarantine.h"
 #include "dispatch/stream_versions.h"
+#include "dispatch/zone_exchange.h"
 #include "net/byte_channel.h"
 
 #include <string>
@@ -32,6 +33,7 @@
     std::vector<socket_address> peers;
     /// Endpoints that have said that they leave while the list does not say so.
     std::vector<endpoint_incarnation> leaving;
+    entry_place place;
 
     bool operator==(const entry_message &) const = default;
 };
@@ -48,11 +50,13 @@
 
 [[nodiscard]] std::string encodeEntryMessage(const entry_message &message);
 [[nodiscard]] std::string encodeEntryNews(const entry_news &news);
+/// Limits that endpoints declare are left out; entries tell them directly.
+[[nodiscard]] std::string encodeZoneLoads(const zone_loads &loads);
 
 /// Throws shunt_error(malformed_frame) if the bytes are not a valid message.
 [[nodiscard]] entry_message decodeEntryMessage(std::string_view bytes);
 
-/// Decodes a message or news. Throws shunt_error(malformed_frame) if the bytes are neither.
-[[nodiscard]] std::variant<entry_message, entry_news> decodeDatagram(std::string_view bytes);
+/// Throws shunt_error(malformed_frame) if the bytes are none of these.
+[[nodiscard]] std::variant<entry_message, entry_news, zone_loads> decodeDatagram(std::string_view bytes);
 
 } // namespace wisteriashunt
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -200,15 +200,21 @@
     }
     m_peerRecords =
         std::make_unique<peer_records>(m_loop, m_log, peer_records_options{.self = *self}, std::vector{&m_declarationsFollower, &m_endpointsFollower});
-    m_peers = std::make_unique<peer_exchange>(
-        m_loop,
-        m_log,
-        peer_exchange_options{
-            .schedule = {.maxBytesPerSecond = exchangeLinkShare * m_options.settings.linkBytesPerSecond}, .seeds = m_options.settings.seeds, .self = *self},
-        peer_exchange::hooks{.compose = [this] { return composeMessage(); },
-                             .composeNews = [this] { return composeNews(); },
-                             .onMessage = [this](const socket_address &from, const entry_message &message) { onPeerMessage(from, message); },
-                             .onNews = [this](const socket_address &from, const entry_news &news) { onPeerNews(from, news); }});
+    peer_exchange_options options;
+    options.schedule.maxBytesPerSecond = exchangeLinkShare * m_options.settings.linkBytesPerSecond;
+    options.place = {.availabilityZone = m_options.settings.availabilityZone, .linkBytesPerSecond = m_options.settings.linkBytesPerSecond};
+    options.seeds = m_options.settings.seeds;
+    options.self = *self;
+    peer_exchange::hooks hooks;
+    hooks.compose = [this] { return composeMessage(); };
+    hooks.composeNews = [this] { return composeNews(); };
+    hooks.onMessage = [this](const socket_address &from, const entry_message &message) { onPeerMessage(from, message); };
+    hooks.onNews = [this](const socket_address &from, const entry_news &news) { onPeerNews(from, news); };
+    hooks.onRelayedLoad = [this](load_digest load) {
+        m_planner.onRelayedLoad(std::move(load), m_loop.now());
+        m_context.onCapacityFreed();
+    };
+    m_peers = std::make_unique<peer_exchange>(m_loop, m_log, options, std::move(hooks));
 }
 
 void gateway::onEndpointCrash(const endpoint_crash &crash)
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -19,6 +19,14 @@
 struct peer_exchange_options
 {
     exchange_schedule_options schedule;
+    zone_exchange_options zones;
+    /// Time between two messages to the entries of other zones while relays tell them of loads. Limits that endpoints declare are told by these
+    /// messages, and while there are any, as often as to the own zone.
+    duration otherZonesPeriod = std::chrono::milliseconds(800);
+    /// Time between two sums that a relay sends.
+    duration relayPeriod = std::chrono::milliseconds(100);
+    /// What this entry tells of itself; isRelay is set by the exchange.
+    entry_place place;
     /// A peer from which no message has come for this long is no longer reported to others. Peers that others report are contacted for as
     /// long.
     duration peerLifetime = std::chrono::seconds(3);
@@ -36,6 +44,7 @@
     using compose_hook = std::function<entry_message()>;
     using compose_news_hook = std::function<entry_news()>;
     using message_hook = std::function<void(const socket_address &from, const entry_message &message)>;
+    using load_hook = std::function<void(load_digest load)>;
     using news_hook = std::function<void(const socket_address &from, const entry_news &news)>;
 
     /// What the exchange calls.
@@ -45,6 +54,8 @@
         compose_news_hook composeNews;
         message_hook onMessage;
         news_hook onNews;
+        /// Called with the sum of the loads of other zones.
+        load_hook onRelayedLoad;
     };
 
     peer_exchange(event_loop &loop, event_log &log, const peer_exchange_options &options, hooks callbacks);
@@ -61,6 +72,13 @@
     void onDatagram(const socket_address &from, std::string_view bytes);
     /// Sends a round of messages if one is due.
     void broadcast();
+    /// Sends messages to the entries of other zones if they are due.
+    void tellOtherZones(const std::vector<socket_address> &peers);
+    /// Sends sums of loads if they are due.
+    void relayLoads();
+    void onMessage(const socket_address &from, entry_message message);
+    /// Composes a message and keeps what the next one to other zones has to tell.
+    [[nodiscard]] entry_message composeMessage();
     void send(std::string_view bytes, const std::vector<socket_address> &peers);
     [[nodiscard]] std::vector<socket_address> recipients() const;
     /// Forgets peers that have not been heard of for long.
@@ -71,6 +89,14 @@
     peer_exchange_options m_options;
     hooks m_hooks;
     exchange_schedule m_schedule;
+    zone_exchange m_zones;
+    time_point m_otherZonesToldAt;
+    exchange_schedule m_relaySchedule;
+    /// The newest message, without what is told only once or a few times. Of that, what was told to the own zone since the last message to other
+    /// zones, and before it: the latter is repeated in case it was lost.
+    entry_message m_lastMessage;
+    entry_message m_untold;
+    entry_message m_toldLast;
     datagram_socket m_socket;
     /// Time of the last message from each peer.
     std::map<socket_address, time_point> m_directPeers;
