Learn the slowness of engines for long prompts over a whole service

Cause: an entry learns how much later than predicted first bytes come by endpoint, with a memory of two seconds.

Change: an engine of which no long prompt was observed for 3 s is assumed to be as slow as the long prompts of its service recently were. Small fleets observe every engine more often, so their decisions stay.

--- a/src/dispatch/load_tracker.cpp
+++ b/src/dispatch/load_tracker.cpp
@@ -19,6 +19,11 @@
 /// Half-life of an endpoint's observed slowness. Without decay, an endpoint that was slow once would get no more work and never recover.
 constexpr double slownessHalfLifeSeconds = 2;
 
+double decayedSlowness(double factor, duration age)
+{
+    return 1 + (factor - 1) * std::exp2(-toSeconds(age) / slownessHalfLifeSeconds);
+}
+
 /// Time constant of the moving average of the short-prompt token rate.
 constexpr double rateTimeConstantSeconds = 1;
 
@@ -101,6 +106,30 @@
     known.slownessAt = now;
 }
 
+void load_tracker::recordLongPromptSlowness(
+    const std::string &service, const std::string &endpointId, double ratioToPrediction, double assumedSlowness, time_point now)
+{
+    const double ratio = std::clamp(ratioToPrediction, minSlowness, maxSlowness);
+    auto &endpoint = m_endpoints[endpointId];
+    endpoint.slowness = std::clamp(assumedSlowness * (1 + m_options.slownessSmoothing * (ratio - 1)), minSlowness, maxSlowness);
+    endpoint.slownessAt = now;
+    endpoint.longPromptAt = now;
+    auto &known = m_serviceSlowness[service];
+    const double before = decayedSlowness(known.factor, now - known.at);
+    known.factor = before + m_options.serviceSlownessSmoothing * (std::clamp(assumedSlowness * ratio, minSlowness, maxSlowness) - before);
+    known.at = now;
+}
+
+double load_tracker::longPromptSlownessOf(const std::string &service, const std::string &endpointId, time_point now) const
+{
+    const auto endpoint = m_endpoints.find(endpointId);
+    if (endpoint != m_endpoints.end() && now - endpoint->second.longPromptAt < m_options.slownessLifetime) {
+        return slownessOf(endpointId, now);
+    }
+    const auto known = m_serviceSlowness.find(service);
+    return known == m_serviceSlowness.end() ? slownessOf(endpointId, now) : decayedSlowness(known->second.factor, now - known->second.at);
+}
+
 void load_tracker::recordPart(std::uint64_t part, const std::string &endpointId, time_point now)
 {
     if (m_parts.size() > maxTrackedParts) {
@@ -183,7 +212,7 @@
     if (known == m_endpoints.end() || known->second.slowness == 1) {
         return 1;
     }
-    return 1 + (known->second.slowness - 1) * std::exp2(-toSeconds(now - known->second.slownessAt) / slownessHalfLifeSeconds);
+    return decayedSlowness(known->second.slowness, now - known->second.slownessAt);
 }
 
 std::int64_t load_tracker::cachedTokens(const std::vector<prompt_part> &prompt, const std::string &endpointId, time_point now) const
--- a/src/dispatch/load_tracker.h
+++ b/src/dispatch/load_tracker.h
@@ -25,6 +25,11 @@
     duration partLifetime = std::chrono::seconds(20);
     /// Weight of the newest observation in an endpoint's slowness.
     double slownessSmoothing = 0.15;
+    /// Weight of the newest observation in the slowness of all endpoints of a service.
+    double serviceSlownessSmoothing = 0.1;
+    /// Time since the last observation of an endpoint after which it is assumed to be as slow as the endpoints of its service recently were. With
+    /// many entries and endpoints, an entry observes each endpoint too rarely to learn anything of it alone.
+    duration slownessLifetime = std::chrono::seconds(3);
 };
 
 /// Work that a request adds at an endpoint.
@@ -56,6 +61,8 @@
     void recordShortPrompt(const std::string &service, std::int64_t tokens, time_point now);
     /// Records how long a first byte took in relation to the prediction.
     void recordSlowness(const std::string &endpointId, double ratioToPrediction, time_point now);
+    /// The same for a long prompt, whose prediction assumed this slowness. The endpoint's other prompts are assumed to be as slow.
+    void recordLongPromptSlowness(const std::string &service, const std::string &endpointId, double ratioToPrediction, double assumedSlowness, time_point now);
 
     /// Returns this entry's own load, to be sent to its peers. Also discards the state of endpoints that are no longer in use.
     [[nodiscard]] load_digest digest(time_point now);
@@ -71,6 +78,8 @@
     [[nodiscard]] int shortPromptsAt(const std::string &endpointId, time_point now);
     /// Returns the factor by which first bytes of the endpoint take longer than predicted.
     [[nodiscard]] double slownessOf(const std::string &endpointId, time_point now) const;
+    /// Returns the factor for a long prompt: that of the endpoint, or of its service if the endpoint was not observed recently.
+    [[nodiscard]] double longPromptSlownessOf(const std::string &service, const std::string &endpointId, time_point now) const;
     /// Returns the tokens of the prompt's shared parts that the endpoint is expected to have cached. A part is of use only if all parts
     /// before it are cached too.
     [[nodiscard]] std::int64_t cachedTokens(const std::vector<prompt_part> &prompt, const std::string &endpointId, time_point now) const;
@@ -93,6 +102,13 @@
         /// Factor by which first bytes take longer than predicted.
         double slowness = 1;
         time_point slownessAt;
+        /// Last observation of a long prompt.
+        time_point longPromptAt;
+    };
+    struct observed_slowness
+    {
+        double factor = 1;
+        time_point at;
     };
     struct token_rate
     {
@@ -109,6 +125,8 @@
     peer_loads m_peers;
     /// Prompt tokens of this entry's short-prompt requests, by service.
     std::unordered_map<std::string, token_rate> m_shortPromptRates;
+    /// Slowness of all endpoints by service.
+    std::unordered_map<std::string, observed_slowness> m_serviceSlowness;
     std::vector<part_placement> m_newPlacements;
     /// Last use of each prompt part, by part and endpoint.
     std::unordered_map<std::uint64_t, std::unordered_map<std::string, time_point>> m_parts;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -110,7 +110,8 @@
     usable.reserve(m_roster.ofService(request.service).size());
     for (const auto &endpoint : eligibleEndpoints(request, now)) {
         const auto &id = endpoint->record.id;
-        candidate found{.endpoint = endpoint, .load = m_loads.loadOf(id, now), .slowness = m_loads.slownessOf(id, now), .order = endpoint->orderKey};
+        const double slowness = isLongPrompt(request) ? m_loads.longPromptSlownessOf(request.service, id, now) : m_loads.slownessOf(id, now);
+        candidate found{.endpoint = endpoint, .load = m_loads.loadOf(id, now), .slowness = slowness, .order = endpoint->orderKey};
         const bool isUnhealthy = endpoint->health.isSuspended(now) || endpoint->health.isFailing(healthOptions);
         (isUnhealthy ? unhealthy : usable).push_back(std::move(found));
     }
@@ -426,6 +427,7 @@
                        .rank = request.rank,
                        .isLongPrompt = true,
                        .predictedFirstByte = best->predictedFirstByte,
+                       .assumedSlowness = best->target->slowness,
                        .cacheHolderObstacle = cacheHolderObstacle}};
 }
 
@@ -450,7 +452,13 @@
 {
     m_loads.onFirstByte(workOf(placed));
     if (placed.predictedFirstByte != duration{}) {
-        m_loads.recordSlowness(placed.endpoint->record.id, toSeconds(sinceSent) / toSeconds(placed.predictedFirstByte), now);
+        const double ratio = toSeconds(sinceSent) / toSeconds(placed.predictedFirstByte);
+        const auto &record = placed.endpoint->record;
+        if (placed.isLongPrompt) {
+            m_loads.recordLongPromptSlowness(record.service, record.id, ratio, placed.assumedSlowness, now);
+        } else {
+            m_loads.recordSlowness(record.id, ratio, now);
+        }
     }
 }
 
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -123,6 +123,8 @@
     int rank = 0;
     bool isLongPrompt = false;
     duration predictedFirstByte{};
+    /// Slowness that the prediction assumes; see load_tracker::longPromptSlownessOf().
+    double assumedSlowness = 1;
     /// Long prompts: why the engine with the fewest uncached tokens was not chosen; none if it was.
     placement_obstacle cacheHolderObstacle = placement_obstacle::none;
 };
--- a/test/placement_fleet_test.cpp
+++ b/test/placement_fleet_test.cpp
@@ -224,5 +224,33 @@
     }
 }
 
+TEST_F(placement_fleet_test, AnEntryThatObservesEachEngineRarelyLearnsFromAllOfThem)
+{
+    auto &entry = *m_entries.front();
+    constexpr duration target = std::chrono::milliseconds(800);
+    time_point now = start;
+    int refusedFirst = 0;
+    constexpr std::uint64_t prompts = 40;
+    // Every first byte comes three times as late as predicted, each time at another engine.
+    for (std::uint64_t i = 0; i < prompts; ++i) {
+        now += std::chrono::milliseconds(50);
+        auto request = promptOfSession(i, target);
+        request.prompt = {{1000 + i, 12000}, {50000 + i, 3000}};
+        request.promptTokens = 15000;
+        const auto decision = entry.place(request, now);
+        if (decision.refusal != placement_refusal::none) {
+            refusedFirst += i < prompts / 2 ? 1 : 0;
+            continue;
+        }
+        entry.onSent(request, decision.chosen, now);
+        entry.onFirstByte(decision.chosen, 3 * decision.chosen.predictedFirstByte, now);
+        entry.onFinished(decision.chosen, true);
+    }
+    EXPECT_EQ(refusedFirst, 0) << "333 ms of prefill fit into 480 ms";
+    const auto queued = entry.place(promptOfSession(900, target), now);
+    EXPECT_GT(queued.chosen.predictedFirstByte + queued.predictedFirstByte, std::chrono::milliseconds(600))
+        << "378 ms of prefill at engines that have not been observed";
+}
+
 } // namespace
 } // namespace wisteriashunt
