Read the platform's log for the entries of a zone through its relays

The suppressed second relay and shorter periods of sums come with it, because both follow from who is first relay.

Change: in fleets with relays on fast links, other entries fetch the records of both topics from a relay of their zone and call the log only while the relay's newest answer is older than half of the drain timeout, or the relay is silent.

The second relay of a zone tells members nothing while it hears the first, and sums are sent each 50 ms, as far as the allowance of bytes permits.

--- a/src/dispatch/zone_exchange.cpp
+++ b/src/dispatch/zone_exchange.cpp
@@ -71,6 +71,10 @@
         }
         return std::nullopt;
     }
+    m_heardZones = loads.zones.size();
+    m_heardSumAt = now;
+    // The other relay has told the members of them.
+    m_otherPlacements.clear();
     if (loads.zones.size() < m_usedZones.size() && now - m_usedAt < m_options.sumLifetime) {
         return std::nullopt;
     }
@@ -79,6 +83,22 @@
     return loads.load;
 }
 
+void zone_exchange::onOwnSum(const zone_loads &loads, time_point now)
+{
+    m_usedZones = loads.zones;
+    m_usedAt = now;
+}
+
+bool zone_exchange::tellsMembers(time_point now) const
+{
+    if (!isRelay(now)) {
+        return false;
+    }
+    const auto knownZones = static_cast<std::size_t>(
+        std::count_if(m_zoneHeardAt.begin(), m_zoneHeardAt.end(), [&](const auto &zone) { return now - zone.second < m_options.digestLifetime; }));
+    return relaysOfOwnZone(now).front() == m_self || now - m_heardSumAt >= m_options.takeOverDelay || m_heardZones < knownZones;
+}
+
 void zone_exchange::discardOutdated(duration peerLifetime, time_point now)
 {
     std::erase_if(m_peers, [&](const auto &peer) { return now - peer.second.heardAt >= peerLifetime; });
@@ -117,12 +137,22 @@
     return std::find(relays.begin(), relays.end(), m_self) != relays.end();
 }
 
+std::vector<socket_address> zone_exchange::knownRelaysOfOwnZone(time_point now, double minLinkBytesPerSecond) const
+{
+    std::vector<socket_address> relays;
+    for (const auto &[address, peer] : m_peers) {
+        const bool isOfOwnZone = peer.place.availabilityZone == m_place.availabilityZone;
+        const bool isFast = peer.place.linkBytesPerSecond >= minLinkBytesPerSecond;
+        if (usesRelays() && isOfOwnZone && isFast && peer.place.isRelay && now - peer.heardAt < m_options.relayLifetime) {
+            relays.push_back(address);
+        }
+    }
+    return relays;
+}
+
 bool zone_exchange::hasRelay(time_point now) const
 {
-    return isRelay(now) || std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &each) {
-               const auto &peer = each.second;
-               return peer.place.isRelay && peer.place.availabilityZone == m_place.availabilityZone && now - peer.heardAt < m_options.relayLifetime;
-           });
+    return isRelay(now) || !knownRelaysOfOwnZone(now).empty();
 }
 
 bool zone_exchange::countsDirectLoad(const entry_place &peer, time_point now) const
--- a/src/dispatch/zone_exchange.h
+++ b/src/dispatch/zone_exchange.h
@@ -27,6 +27,8 @@
     duration relayLifetime = std::chrono::milliseconds(1200);
     /// Time after which the sum of one relay is replaced by that of another that knows fewer zones.
     duration sumLifetime = std::chrono::milliseconds(400);
+    /// Time without a sum of the first relay after which the next one tells the members.
+    duration takeOverDelay = std::chrono::milliseconds(250);
     /// Most placements of prompt parts in one sum.
     std::size_t maxPlacements = 512;
     /// Time after its start, or after a pause of its process, during which an entry does not act as a relay: it has not heard its zone yet.
@@ -71,6 +73,8 @@
     void onMessage(const socket_address &peer, const entry_place &place, const load_digest &load, time_point now);
     /// Records a sum of another relay. Returns the load to place by if the sum is the one to use.
     [[nodiscard]] std::optional<load_digest> onZoneLoads(const zone_loads &loads, time_point now);
+    /// Records that this entry, as a relay, places by its own sum.
+    void onOwnSum(const zone_loads &loads, time_point now);
     /// Records this entry's own load and placements, which its messages tell.
     void onOwnLoad(const load_digest &load, time_point now);
     /// Forgets peers that have not been heard for a while.
@@ -80,6 +84,11 @@
     [[nodiscard]] bool usesRelays() const;
     /// Whether this entry acts as a relay.
     [[nodiscard]] bool isRelay(time_point now) const;
+    /// Other entries of this entry's zone that act as relays and have at least this bandwidth.
+    [[nodiscard]] std::vector<socket_address> knownRelaysOfOwnZone(time_point now, double minLinkBytesPerSecond = 0) const;
+    /// Whether this entry, as a relay, tells the members of its zone of the other zones: it is the first relay, or the first one is not heard, or
+    /// knows fewer zones.
+    [[nodiscard]] bool tellsMembers(time_point now) const;
     /// Whether a relay of this entry's zone, perhaps this entry, is known.
     [[nodiscard]] bool hasRelay(time_point now) const;
     /// Whether the loads of a peer that it has told directly count. They do not if a relayed sum contains them.
@@ -120,6 +129,9 @@
     /// Zones in the sum that this entry places by, and when it came.
     std::vector<std::string> m_usedZones;
     time_point m_usedAt;
+    /// The newest sum of another relay for the members of this zone: its number of zones, and when it came.
+    std::size_t m_heardZones = 0;
+    time_point m_heardSumAt;
 };
 
 } // namespace wisteriashunt
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -41,6 +41,11 @@
 /// new declarations (it does not after it has deleted its history), so a call must end early enough for the next one.
 constexpr double declarationsWaitShare = 0.65;
 
+/// Shares of maxDrainDelay, for an entry for which others read the log: the time between two calls to them, and the age of their newest answer
+/// of the log from which on the entry reads it itself. One pause of theirs and one call fit within the latter.
+constexpr double readerPeriodShare = 0.1;
+constexpr double maxRelayedAgeShare = 0.5;
+
 /// Path of the metrics, which are served in the Prometheus text format.
 constexpr std::string_view metricsPath = "/metrics";
 
@@ -111,9 +116,11 @@
                              {.topic = m_options.decoders.declarationsTopic,
                               .log = m_options.settings.logAddress,
                               .wait = fromSeconds(declarationsWaitShare * toSeconds(m_options.settings.convergenceTime)),
+                              .maxRelayedAge = fromSeconds(maxRelayedAgeShare * toSeconds(m_options.settings.maxDrainDelay)),
                               .rereadDelay = rereadDelayOf(m_options.settings.instance),
                               .rules = declarationRules(m_options.decoders)},
-                             {.onRecord = [this](const keyed_record &record, record_timing) { onDeclarations(record); },
+                             {.isReadElsewhere = [this] { return hasReaders(); },
+                              .onRecord = [this](const keyed_record &record, record_timing) { onDeclarations(record); },
                               .onEpoch = [this](std::int64_t epoch) { m_endpointsFollower.noteEpoch(epoch); }})
     , m_endpointsFollower(m_loop,
                           m_log,
@@ -123,9 +130,11 @@
                            .period = fromSeconds(readPeriodShare * toSeconds(m_options.settings.maxDrainDelay)),
                            .timeout = fromSeconds(readTimeoutShare * toSeconds(m_options.settings.maxDrainDelay)),
                            .maxBackoff = endpointsMaxBackoff,
+                           .maxRelayedAge = fromSeconds(maxRelayedAgeShare * toSeconds(m_options.settings.maxDrainDelay)),
                            .rereadDelay = rereadDelayOf(m_options.settings.instance),
                            .rules = endpointRules(m_options.decoders)},
-                          {.onRecord = [this](const keyed_record &record, record_timing timing) { onEndpointRecord(record, timing); },
+                          {.isReadElsewhere = [this] { return hasReaders(); },
+                           .onRecord = [this](const keyed_record &record, record_timing timing) { onEndpointRecord(record, timing); },
                            .onEpoch = [this](std::int64_t epoch) { m_declarationsFollower.noteEpoch(epoch); }})
     , m_callerHooks(std::make_shared<caller_hooks>(
           caller_hooks{.onRequest = [this](const auto &caller, received_request &&request) { onRequest(caller, std::move(request)); },
@@ -198,8 +207,11 @@
     if (!self) {
         return;
     }
-    m_peerRecords =
-        std::make_unique<peer_records>(m_loop, m_log, peer_records_options{.self = *self}, std::vector{&m_declarationsFollower, &m_endpointsFollower});
+    m_peerRecords = std::make_unique<peer_records>(
+        m_loop,
+        m_log,
+        peer_records_options{.self = *self, .readerPeriod = fromSeconds(readerPeriodShare * toSeconds(m_options.settings.maxDrainDelay))},
+        std::vector{&m_declarationsFollower, &m_endpointsFollower});
     peer_exchange_options options;
     options.schedule.maxBytesPerSecond = exchangeLinkShare * m_options.settings.linkBytesPerSecond;
     options.place = {.availabilityZone = m_options.settings.availabilityZone, .linkBytesPerSecond = m_options.settings.linkBytesPerSecond};
@@ -300,6 +312,11 @@
     m_endpointsFollower.noteEpoch(message.logEpoch);
 }
 
+bool gateway::hasReaders() const
+{
+    return m_peers != nullptr && !m_peers->readers().empty();
+}
+
 std::int64_t gateway::declarationsVersion() const
 {
     return m_context.table == nullptr ? -1 : m_context.table->version();
@@ -508,7 +525,7 @@
     m_pool.closeExpired();
     closeStaleCallers();
     if (m_peers != nullptr) {
-        m_peerRecords->fetchIfDue(m_peers->livePeers());
+        m_peerRecords->fetchIfDue(m_peers->livePeers(), m_peers->readers());
     }
     if (m_options.takeReloadRequest()) {
         try {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -73,6 +73,8 @@
     [[nodiscard]] bool isEndpointListCurrent() const;
     [[nodiscard]] entry_message composeMessage();
     [[nodiscard]] entry_news composeNews();
+    /// Whether other entries read the log for this one.
+    [[nodiscard]] bool hasReaders() const;
     void listen();
     void startPeerExchange();
     /// Tells peers of this entry's streams and of changes of the quarantine at the end of this iteration of the loop.
--- a/src/gateway/log_follower.cpp
+++ b/src/gateway/log_follower.cpp
@@ -87,19 +87,48 @@
     return m_records.snapshot();
 }
 
-void log_follower::merge(const keyed_snapshot &snapshot)
+follower_currency log_follower::currency() const
 {
-    m_timing = snapshot.epoch > m_records.epoch() ? record_timing::first_after_outage : record_timing::steady;
+    return {.age = m_loop.now() - m_lastAnswer, .sinceFailure = m_loop.now() - m_lastFailure};
+}
+
+log_position log_follower::position() const
+{
+    return m_records.next().value_or(log_position{.epoch = m_records.epoch(), .offset = -1});
+}
+
+void log_follower::merge(const keyed_snapshot &snapshot, const std::optional<follower_currency> &currency)
+{
+    // Records that the other entry removed soon after an outage may have lapsed because of it.
+    const bool isAfterOutage = currency && currency->sinceFailure < outageRecoveryTime + m_options.timeout;
+    m_timing = isAfterOutage || snapshot.epoch > m_records.epoch() ? record_timing::first_after_outage : record_timing::steady;
     noteEpoch(snapshot.epoch);
-    if (!m_records.merge(snapshot)) {
+    const bool isAhead = m_records.merge(snapshot);
+    if (currency && snapshot.next >= 0 && !(snapshot.position() < position())) {
+        m_lastAnswer = std::max(m_lastAnswer, m_loop.now() - currency->age);
+    }
+    if (!isAhead) {
         return;
     }
-    m_lastAnswer = m_loop.now();
+    if (!currency) {
+        m_lastAnswer = m_loop.now();
+    }
     logEpochChange();
     becomeComplete();
 }
 
 void log_follower::read()
+{
+    const bool isCurrent = m_isComplete && !m_records.hasNewEpoch() && m_loop.now() - m_lastAnswer < m_options.maxRelayedAge;
+    if (isCurrent && m_hooks.isReadElsewhere()) {
+        constexpr std::chrono::milliseconds checkPeriod{50};
+        scheduleNext(checkPeriod);
+        return;
+    }
+    call();
+}
+
+void log_follower::call()
 {
     const auto asked = m_records.nextRead();
     const duration wait = asked.isNewest ? duration{} : m_options.wait;
@@ -191,7 +220,7 @@
         return;
     case read_step::next_page:
     case read_step::read_newest:
-        read();
+        call();
         return;
     case read_step::read_new_epoch:
         scheduleNext(m_options.rereadDelay);
--- a/src/gateway/log_follower.h
+++ b/src/gateway/log_follower.h
@@ -28,6 +28,8 @@
     /// Pause after a failed call. Doubles with each further failure, up to maxBackoff.
     duration initialBackoff = std::chrono::milliseconds(100);
     duration maxBackoff = std::chrono::milliseconds(800);
+    /// Age of the newest answer of the log from which on it is called although another entry reads the topic.
+    duration maxRelayedAge{};
     /// Pause before the topic is read anew in a higher epoch. Differs between entries, so that not all read at once.
     duration rereadDelay{};
     /// Most bytes of one answer. The log ends its pages at 1 MB.
@@ -55,9 +57,22 @@
 /// Longest pause between two attempts to read the list of endpoints during an outage of the log.
 inline constexpr std::chrono::milliseconds endpointsMaxBackoff{400};
 
+/// How current a follower is, for entries that follow the topic through it.
+struct follower_currency
+{
+    /// Time since the log last answered, directly or through another entry.
+    duration age{};
+    /// Time since the log last failed to answer.
+    duration sinceFailure{};
+
+    bool operator==(const follower_currency &) const = default;
+};
+
 /// Callbacks of a follower.
 struct follower_hooks
 {
+    /// Whether another entry reads the topic for this one. The log is not called then as long as what was learnt is recent; see maxRelayedAge.
+    std::function<bool()> isReadElsewhere = [] { return false; };
     /// Called when a key has a newer record or was removed.
     std::function<void(const keyed_record &record, record_timing timing)> onRecord;
     /// Called once, when isComplete() becomes true.
@@ -92,11 +107,17 @@
     /// The known records of the topic, for entries that the log does not answer.
     [[nodiscard]] keyed_snapshot snapshot() const;
 
-    /// Merges the records of another entry; see topic_records::merge().
-    void merge(const keyed_snapshot &snapshot);
+    /// Merges the records of another entry; see topic_records::merge(). The entry is as current as the other one if its place in the log is not
+    /// ahead of the snapshot.
+    void merge(const keyed_snapshot &snapshot, const std::optional<follower_currency> &currency = std::nullopt);
+    [[nodiscard]] follower_currency currency() const;
+    /// Place in the log up to which records are known; offset -1 if the topic has not been read completely.
+    [[nodiscard]] log_position position() const;
 
 private:
+    /// Calls the log, unless another entry reads the topic for this one.
     void read();
+    void call();
     void onAnswer(const log_read &asked, const http_response_head &head, const std::string &body);
     /// Notes the epoch of an answer. Returns the reason if the answer must be discarded.
     [[nodiscard]] std::optional<std::string> noteEpochOf(const header_list &headers);
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -60,6 +60,12 @@
     runPeriodically(loop, options.schedule.busyPeriod, [this] { broadcast(); });
 }
 
+std::vector<socket_address> peer_exchange::readers() const
+{
+    const auto now = m_loop.now();
+    return m_zones.isRelay(now) ? std::vector<socket_address>{} : m_zones.knownRelaysOfOwnZone(now, m_options.minReaderLinkBytesPerSecond);
+}
+
 std::vector<socket_address> peer_exchange::livePeers() const
 {
     std::vector<socket_address> peers;
@@ -172,14 +178,17 @@
         return;
     }
     const auto forRelays = encodeZoneLoads(m_zones.loadsForRelays(now));
+    send(forRelays, relays);
+    if (!m_zones.tellsMembers(now)) {
+        m_relaySchedule.onRound(relays.size(), forRelays.size(), now);
+        return;
+    }
     auto forMembers = m_zones.loadsForMembers(now);
     const auto bytes = encodeZoneLoads(forMembers);
     m_relaySchedule.onRound(members.size() + relays.size(), std::max(bytes.size(), forRelays.size()), now);
-    send(forRelays, relays);
     send(bytes, members);
-    if (auto load = m_zones.onZoneLoads(forMembers, now)) {
-        m_hooks.onRelayedLoad(std::move(*load));
-    }
+    m_zones.onOwnSum(forMembers, now);
+    m_hooks.onRelayedLoad(std::move(forMembers.load));
 }
 
 void peer_exchange::tellNews()
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -23,8 +23,10 @@
     /// Time between two messages to the entries of other zones while relays tell them of loads. Limits that endpoints declare are told by these
     /// messages, and while there are any, as often as to the own zone.
     duration otherZonesPeriod = std::chrono::milliseconds(800);
+    /// Bandwidth from which on a relay also reads the log for others, who call it several times a second.
+    double minReaderLinkBytesPerSecond = 12.5e6;
     /// Time between two sums that a relay sends.
-    duration relayPeriod = std::chrono::milliseconds(100);
+    duration relayPeriod = std::chrono::milliseconds(50);
     /// What this entry tells of itself; isRelay is set by the exchange.
     entry_place place;
     /// A peer from which no message has come for this long is no longer reported to others. Peers that others report are contacted for as
@@ -65,6 +67,8 @@
     /// Sends news to all peers without waiting for the next round, if the bounds on messages and bytes leave room for it.
     void tellNews();
 
+    /// Peers that read the platform's log for this entry: the relays of its zone with fast links, unless it is one. Empty in small fleets.
+    [[nodiscard]] std::vector<socket_address> readers() const;
     /// Peers from which a message has come within peerLifetime.
     [[nodiscard]] std::vector<socket_address> livePeers() const;
 
--- a/src/gateway/peer_records.h
+++ b/src/gateway/peer_records.h
@@ -17,10 +17,20 @@
 namespace wisteriashunt
 {
 
-[[nodiscard]] std::string encodeSnapshot(const keyed_snapshot &snapshot);
+/// Records of a topic at one entry.
+struct peer_snapshot
+{
+    keyed_snapshot records;
+    /// nullopt from entries of earlier versions.
+    std::optional<follower_currency> currency;
+
+    bool operator==(const peer_snapshot &) const = default;
+};
+
+[[nodiscard]] std::string encodeSnapshot(const peer_snapshot &snapshot);
 
 /// Throws shunt_error(malformed_frame) if the bytes are not a valid snapshot.
-[[nodiscard]] keyed_snapshot decodeSnapshot(std::string_view bytes);
+[[nodiscard]] peer_snapshot decodeSnapshot(std::string_view bytes);
 
 /// When an entry requests records from peers.
 struct peer_records_options
@@ -30,6 +40,8 @@
     duration catchUpDelay = std::chrono::milliseconds(300);
     /// Time between two calls for the same topic.
     duration period = std::chrono::milliseconds(500);
+    /// Time between two calls for the same topic to entries that read it for this one.
+    duration readerPeriod = std::chrono::milliseconds(700);
     duration timeout = std::chrono::milliseconds(600);
     /// Most bytes of the records of one topic.
     std::size_t maxAnswerBytes = 16 * 1024 * 1024;
@@ -49,8 +61,9 @@
     /// Clears what notePeerAhead() noted, after newer records of the topic have been applied.
     void noteCaughtUp(const std::string &topic);
 
-    /// Fetches each topic that is due from one of the peers, which take turns.
-    void fetchIfDue(const std::vector<socket_address> &peers);
+    /// Fetches each topic that is due from one of the peers, which take turns. Topics are due all the time from readers: peers that read the log for
+    /// this entry.
+    void fetchIfDue(const std::vector<socket_address> &peers, const std::vector<socket_address> &readers);
 
 private:
     struct topic_state
@@ -63,7 +76,7 @@
 
     void serve(const std::shared_ptr<caller_connection> &caller, const received_request &request);
     void fetch(log_follower &follower, topic_state &state, const socket_address &peer);
-    [[nodiscard]] bool isDue(const log_follower &follower, const topic_state &state) const;
+    [[nodiscard]] bool isDue(const log_follower &follower, const topic_state &state, bool hasReaders) const;
 
     event_loop &m_loop;
     event_log &m_log;
--- a/test/log_follower_test.cpp
+++ b/test/log_follower_test.cpp
@@ -128,7 +128,8 @@
 
 TEST(keyed_snapshot_test, RoundTripsAndRejectsTruncatedBytes)
 {
-    const keyed_snapshot snapshot{.next = 12, .records = {{.key = "k", .value = "v", .offset = 3}}};
+    const peer_snapshot snapshot{.records = {.next = 12, .records = {{.key = "k", .value = "v", .offset = 3}}},
+                                 .currency = follower_currency{.age = std::chrono::milliseconds(5), .sinceFailure = std::chrono::seconds(3)}};
     const auto bytes = encodeSnapshot(snapshot);
     EXPECT_EQ(decodeSnapshot(bytes), snapshot);
     for (std::size_t length = 0; length < bytes.size(); ++length) {
--- a/test/store_restore_test.cpp
+++ b/test/store_restore_test.cpp
@@ -246,7 +246,7 @@
     using record_without_epoch = std::tuple<std::string, std::string, std::int64_t>;
     msgpack::sbuffer buffer;
     msgpack::pack(buffer, std::make_tuple(std::int64_t{9}, std::vector<record_without_epoch>{{"k", "v", 3}}));
-    EXPECT_EQ(decodeSnapshot({buffer.data(), buffer.size()}), (keyed_snapshot{.next = 9, .records = {at(0, 3, "k", "v")}}));
+    EXPECT_EQ(decodeSnapshot({buffer.data(), buffer.size()}), (peer_snapshot{.records = {.next = 9, .records = {at(0, 3, "k", "v")}}}));
 }
 
 } // namespace
--- a/test/zone_exchange_fleet_test.cpp
+++ b/test/zone_exchange_fleet_test.cpp
@@ -160,11 +160,15 @@
             for (const auto &relay : exchange.relaysOfOtherZones(m_now)) {
                 deliver(entry, relay, [&](fleet_entry &receiver) { static_cast<void>(receiver.exchange->onZoneLoads(forRelays, m_now)); });
             }
+            if (!exchange.tellsMembers(m_now)) {
+                return;
+            }
             const auto forMembers = exchange.loadsForMembers(m_now);
             for (const auto &member : exchange.members()) {
                 deliver(entry, member, [&](fleet_entry &receiver) { takeSum(receiver, forMembers); });
             }
-            takeSum(entry, forMembers);
+            exchange.onOwnSum(forMembers, m_now);
+            entry.loads->onRelayedLoad(forMembers.load, m_now);
         }
     }
 
