Reset the connection of an abandoned request, so that no late byte of it arrives

Ruled out: entries that notice a close late (the close and the end of the attempt are handled in one wake-up), and full links (still so after news were bounded).

Before and after (ctest -R '^gateway$', ARequestWhoseCallerHasLeft...): 90,144 of 90,144 bytes arrived after the caller had left; the test passes now.

--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -101,10 +101,11 @@
 
 void upstream_connection::close()
 {
-    m_isBusy = false;
+    const bool isAbandoned = std::exchange(m_isBusy, false);
     m_isReusable = false;
     if (m_channel != nullptr && m_channel->isOpen()) {
-        m_channel->close();
+        // After an orderly close the kernel would go on delivering the request to a peer that reads late or has been unreachable.
+        isAbandoned ? m_channel->reset() : m_channel->close();
     }
     // The hooks may hold the owner of this connection, so they are destroyed only after the current wake-up.
     m_loop.retire(std::make_shared<exchange_hooks>(std::exchange(m_hooks, {})));
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -46,7 +46,8 @@
     /// Sends the request. Requires isIdle(). On a new connection the request is sent once the connection is established.
     void send(std::string request, exchange_hooks hooks);
 
-    /// Closes the connection and abandons the current exchange without calling its hooks.
+    /// Closes the connection and abandons the current exchange without calling its hooks. The connection is reset if there is one, so that bytes
+    /// of the request that have not arrived never do.
     void close();
 
     /// True if no exchange is in progress and the connection can carry another one.
--- a/test/gateway_test.cpp
+++ b/test/gateway_test.cpp
@@ -1,6 +1,10 @@
 // Tests an entry on real sockets, with callers, endpoints and a platform log that the tests script.
 #include "gateway_fixture.h"
 
+#include <array>
+#include <sys/socket.h>
+#include <unistd.h>
+
 namespace wisteriashunt::testing
 {
 namespace
@@ -288,5 +292,34 @@
     EXPECT_LT(replies.find("/book/1"), replies.find("/book/2")) << replies;
 }
 
+TEST_F(gateway_test, ARequestWhoseCallerHasLeftDoesNotReachAnEndpointThatReadsLater)
+{
+    // The endpoint reads nothing for now, and takes so little that most of the request stays at the entry.
+    constexpr int receiveBytes = 4096;
+    const int listener = listenOnLoopback();
+    setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof receiveBytes);
+    m_log.putEndpoint("e0", portOf(listener));
+    launch(settingsForTests(m_ports, m_log.port()));
+    waitUntilReady(m_ports.readiness);
+    const std::string body(90000, 'x');
+    {
+        raw_caller caller(m_ports.callers);
+        caller.send(request("/read/1", "", body));
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    const int connection = accept(listener, nullptr, nullptr);
+    ASSERT_GE(connection, 0);
+    std::size_t received = 0;
+    std::array<char, 65536> buffer{};
+    ssize_t count = 0;
+    while ((count = recv(connection, buffer.data(), buffer.size(), 0)) > 0) {
+        received += static_cast<std::size_t>(count);
+    }
+    EXPECT_LT(received, body.size()) << "the rest was delivered after the caller had left";
+    close(connection);
+    close(listener);
+}
+
 } // namespace
 } // namespace wisteriashunt::testing
