Do not take an answer without an ID on a used connection for the next one's; accept before closing

Two troubles that other operators reported, tried here:

- A second copy of an answer that comes late on a connection in use again.
Copies with an ID are skipped since long.
A late 503 without one was taken for the answer to the next request: the caller of an operation was told that it had not run, while it ran.
An answer without an ID is now skipped on a connection that has carried an exchange before (gateway_test.ALateRefusalWithoutAnId..., which failed before).
On a new connection it can only be the request's own.
- A planned stop under load.
The listener was closed with connections waiting to be accepted, which the kernel then reset.
They are accepted first now, and get an answer (channel_listener_test.AcceptsWhatWaitsBeforeItCloses; on the code before, close() accepted none).

--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -23,7 +23,8 @@
 bool request_session::onHead(http_response_head &head)
 {
     const auto metadata = m_context.dialect.readResponse(head.status, head.headers);
-    const bool isForOtherAttempt = !metadata.attemptId.empty() && metadata.attemptId != m_metadata.attemptId;
+    // Without an ID, an answer on a connection that was used before may be a late copy of an earlier one.
+    const bool isForOtherAttempt = metadata.attemptId.empty() ? m_exchange->isReused() : metadata.attemptId != m_metadata.attemptId;
     const bool isUnverifiedSuccess = isSuccess(head.status) && (metadata.attemptId.empty() || !metadata.isSigned);
     if (!isUnverifiedSuccess) {
         noteNotices(metadata);
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -205,6 +205,7 @@
         m_isReusable = false;
     }
     m_isBusy = false;
+    m_hasCompletedExchange = true;
     m_idleSince = m_loop.now();
     const auto self = shared_from_this();
     const auto hooks = std::exchange(m_hooks, {});
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -54,6 +54,11 @@
     [[nodiscard]] bool isIdle() const;
     [[nodiscard]] bool isOpen() const;
     [[nodiscard]] bool isConnected() const;
+    /// Whether an earlier exchange was completed on this connection.
+    [[nodiscard]] bool isReused() const
+    {
+        return m_hasCompletedExchange;
+    }
     [[nodiscard]] time_point idleSince() const;
     /// Idle time after which the peer closes the connection, from its Keep-Alive field; zero if it announced none.
     [[nodiscard]] duration idleTimeout() const;
@@ -81,6 +86,7 @@
     duration m_idleTimeout{};
     bool m_isBusy = false;
     bool m_isReusable = true;
+    bool m_hasCompletedExchange = false;
     bool m_skipsResponse = false;
     bool m_hasSkippedResponse = false;
     std::size_t m_skippedBytes = 0;
--- a/src/net/byte_channel.cpp
+++ b/src/net/byte_channel.cpp
@@ -410,10 +410,24 @@
 
 channel_listener::~channel_listener()
 {
-    close();
+    stopListening();
+}
+
+socket_address channel_listener::address() const
+{
+    sockaddr_in native{};
+    socklen_t size = sizeof native;
+    getsockname(m_descriptor, reinterpret_cast<sockaddr *>(&native), &size);
+    return {.ip = ntohl(native.sin_addr.s_addr), .port = ntohs(native.sin_port)};
 }
 
 void channel_listener::close()
+{
+    onReady(EPOLLIN);
+    stopListening();
+}
+
+void channel_listener::stopListening()
 {
     if (m_descriptor >= 0) {
         m_loop.unwatch(m_descriptor);
--- a/src/net/byte_channel.h
+++ b/src/net/byte_channel.h
@@ -155,10 +155,15 @@
 
     void onReady(std::uint32_t events) override;
 
-    /// Stops listening.
+    /// The address that is listened on, with the port that the system chose if none was given.
+    [[nodiscard]] socket_address address() const;
+
+    /// Accepts the connections that wait to be accepted, which would be reset otherwise, and stops listening.
     void close();
 
 private:
+    void stopListening();
+
     event_loop &m_loop;
     int m_descriptor;
     accept_hook m_onAccept;
--- a/test/byte_channel_test.cpp
+++ b/test/byte_channel_test.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 namespace wisteriashunt
 {
@@ -129,5 +130,30 @@
     EXPECT_EQ(toString(*m_closed), "reset");
 }
 
+TEST(channel_listener_test, AcceptsWhatWaitsBeforeItCloses)
+{
+    constexpr int callers = 5;
+    const boot_clock clock;
+    event_loop loop(clock);
+    constexpr std::uint32_t loopback = 0x7f000001;
+    constexpr std::uint16_t anyPort = 0;
+    std::vector<int> accepted;
+    channel_listener listener(loop, {.ip = loopback, .port = anyPort}, [&accepted](int descriptor) { accepted.push_back(descriptor); });
+    const auto address = listener.address();
+    std::vector<int> connected;
+    for (int i = 0; i < callers; ++i) {
+        const sockaddr_in native = toSockaddr(address);
+        connected.push_back(socket(AF_INET, SOCK_STREAM, 0));
+        ASSERT_EQ(::connect(connected.back(), reinterpret_cast<const sockaddr *>(&native), sizeof native), 0);
+    }
+    listener.close();
+    EXPECT_EQ(accepted.size(), std::size_t{callers});
+    for (const auto *descriptors : {&accepted, &connected}) {
+        for (const int descriptor : *descriptors) {
+            ::close(descriptor);
+        }
+    }
+}
+
 } // namespace
 } // namespace wisteriashunt
--- a/test/gateway_test.cpp
+++ b/test/gateway_test.cpp
@@ -2,6 +2,7 @@
 #include "gateway_fixture.h"
 
 #include <array>
+#include <atomic>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -321,5 +322,21 @@
     close(listener);
 }
 
+TEST_F(gateway_test, ALateRefusalWithoutAnIdIsNotTakenForThatOfTheNextRequest)
+{
+    std::atomic<int> ran{0};
+    const auto serve = [&ran](const received_request &got) {
+        const std::string stray = withLength("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n", "");
+        return scripted_response{.parts = {++ran == 1 ? withLength(okHead(got), "first") : stray + withLength(okHead(got), "second")}};
+    };
+    start(serve);
+    EXPECT_TRUE(callOnce(request("/book/1")).ends_with("first"));
+    const auto reply = callOnce(request("/book/1"));
+    // The endpoint ran it, so no status may say otherwise, and it may not be sent again.
+    EXPECT_EQ(reply.find("HTTP/1.1 429"), std::string::npos) << reply;
+    EXPECT_EQ(reply.find("HTTP/1.1 503"), std::string::npos) << reply;
+    EXPECT_EQ(ran, 2);
+}
+
 } // namespace
 } // namespace wisteriashunt::testing
