--- a/test/adapter_test.cpp
+++ b/test/adapter_test.cpp
@@ -32,6 +32,8 @@
     EXPECT_EQ(settings.maxDrainDelay, std::chrono::seconds(3));
     EXPECT_EQ(settings.retries.slack, 52);
     EXPECT_EQ(settings.maxDescriptors, 4200U);
+    EXPECT_EQ(settings.linkBytesPerSecond, 125e6) << "1,000 Mbit/s if the file names none";
+    EXPECT_EQ(parseSettings(replaced(settingsText, "\"max_fds\"", "\"link_mbps\":20,\"max_fds\"")).linkBytesPerSecond, 2.5e6);
 }
 
 TEST(platform_settings_test, ErrorNamesInvalidField)
@@ -47,6 +49,7 @@
     EXPECT_NE(messageOf(replaced(settingsText, "node_name", "name")).find("node_name"), std::string::npos);
     EXPECT_NE(messageOf(replaced(settingsText, "10.1.0.19:8740", "10.1.0.19")).find("10.1.0.19"), std::string::npos);
     EXPECT_NE(messageOf(replaced(settingsText, "4200", "\"many\"")).find("number"), std::string::npos);
+    EXPECT_NE(messageOf(replaced(settingsText, "\"max_fds\"", "\"link_mbps\":\"fast\",\"max_fds\"")).find("limits.link_mbps"), std::string::npos);
     EXPECT_NE(messageOf("{"), "accepted");
     EXPECT_NE(messageOf("[]"), "accepted");
     EXPECT_NE(messageOf(replaced(settingsText, "grace_period_s", "grace")).find("bounds.grace_period_s: expected a non-negative number"), std::string::npos);
