Let entries rely on declarations read through relays for longer than the log holds a call

The log holds a relay's call for declarations for 2.6 s, so its newest answer was often older than the 2 s after which others call themselves.

Change: for declarations, three quarters of the time to convergence. New ones end a held call at once, so the age says little about them.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -46,6 +46,10 @@
 constexpr double readerPeriodShare = 0.1;
 constexpr double maxRelayedAgeShare = 0.5;
 
+/// The same for declarations, as a share of convergenceTime: more than declarationsWaitShare, since the log answers a held call at once when
+/// there are new ones.
+constexpr double maxRelayedDeclarationsAgeShare = 0.75;
+
 /// Path of the metrics, which are served in the Prometheus text format.
 constexpr std::string_view metricsPath = "/metrics";
 
@@ -116,7 +120,7 @@
                              {.topic = m_options.decoders.declarationsTopic,
                               .log = m_options.settings.logAddress,
                               .wait = fromSeconds(declarationsWaitShare * toSeconds(m_options.settings.convergenceTime)),
-                              .maxRelayedAge = fromSeconds(maxRelayedAgeShare * toSeconds(m_options.settings.maxDrainDelay)),
+                              .maxRelayedAge = fromSeconds(maxRelayedDeclarationsAgeShare * toSeconds(m_options.settings.convergenceTime)),
                               .rereadDelay = rereadDelayOf(m_options.settings.instance),
                               .rules = declarationRules(m_options.decoders)},
                              {.isReadElsewhere = [this] { return hasReaders(); },
