--- a/src/gateway/log_follower.cpp
+++ b/src/gateway/log_follower.cpp
@@ -99,7 +99,7 @@
 
 void log_follower::merge(const keyed_snapshot &snapshot, const std::optional<follower_currency> &currency)
 {
-    // Records that the other entry removed soon after an outage may have lapsed because of it.
+    // Records that the other entry removed soon after an outage may have expired because of it.
     const bool isAfterOutage = currency && currency->sinceFailure < outageRecoveryTime + m_options.timeout;
     m_timing = isAfterOutage || snapshot.epoch > m_records.epoch() ? record_timing::first_after_outage : record_timing::steady;
     noteEpoch(snapshot.epoch);
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -26,7 +26,7 @@
     to.insert(to.end(), from.begin(), from.end());
 }
 
-/// Appends what is told only once or a few times: begun streams, crashes and clearances.
+/// Appends what is told only once or a few times: begun streams, crashes and clearances, placements, and the newest held parts.
 void appendNews(entry_message &to, const entry_message &from)
 {
     append(to.streams.begun, from.streams.begun);
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -39,7 +39,7 @@
     socket_address self;
 };
 
-/// Sends this entry's messages periodically and passes received ones to a callback.
+/// Sends this entry's messages periodically, with sums of loads if it is a relay (see zone_exchange), and passes received ones to callbacks.
 class peer_exchange
 {
 public:
@@ -96,10 +96,11 @@
     zone_exchange m_zones;
     time_point m_otherZonesToldAt;
     exchange_schedule m_relaySchedule;
-    /// The newest message, without what is told only once or a few times. Of that, what was told to the own zone since the last message to other
-    /// zones, and before it: the latter is repeated in case it was lost.
+    /// The newest message, without news: what is told only once or a few times.
     entry_message m_lastMessage;
+    /// News that the own zone was told and other zones were not.
     entry_message m_untold;
+    /// News of the last message to other zones, repeated in the next one in case it was lost.
     entry_message m_toldLast;
     datagram_socket m_socket;
     /// Time of the last message from each peer.
