--- a/src/gateway/endpoint_crash_watch.cpp
+++ b/src/gateway/endpoint_crash_watch.cpp
@@ -67,14 +67,17 @@
     }
     suspected.connection->close();
     part_set parts;
+    std::set<std::uint64_t> fingerprints;
     for (const auto &attempt : suspected.crash.attempts) {
         parts.insert(attempt.parts.begin(), attempt.parts.end());
+        fingerprints.insert(attempt.fingerprint);
     }
     m_log.write(event_number::endpoint_crashed,
                 {{"endpoint", suspected.crash.endpoint->record.id},
                  {"service", suspected.crash.endpoint->record.service},
                  {"unbegun", std::to_string(suspected.crash.attempts.size())},
                  {"parts", hexadecimalList(parts)},
+                 {"fingerprints", hexadecimalList(fingerprints)},
                  {"noticed_after_ms", milliseconds(elapsed)}});
     m_onCrash(suspected.crash);
 }
--- a/src/gateway/endpoint_crash_watch.h
+++ b/src/gateway/endpoint_crash_watch.h
@@ -20,6 +20,8 @@
 struct unbegun_attempt
 {
     std::string attemptId;
+    /// See fingerprintOf().
+    std::uint64_t fingerprint = 0;
     /// IDs of the parts of its prompt that other requests may share.
     part_set parts;
 
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -1,5 +1,7 @@
 #include "gateway/request_session.h"
 
+#include "dispatch/request_fingerprint.h"
+
 #include <algorithm>
 #include <array>
 #include <functional>
@@ -154,6 +156,7 @@
                           .longestPause = m_route->eventGapTarget,
                           .softwareVersion = m_origin ? std::optional(m_origin->softwareVersion) : std::nullopt};
     m_resumeAfter = m_metadata.lastEvent;
+    m_fingerprint = fingerprintOf({.method = m_request.method, .target = m_request.target, .workspace = m_workspace, .body = m_request.body});
     m_sharedParts = sharedParts(m_metadata.prompt);
     m_context.allowanceOf(m_service).onRequest(m_arrival);
     m_context.planner.rateLimits().onArrival(m_service, m_rank, m_arrival);
@@ -345,6 +348,7 @@
                          {"software", placed.endpoint->record.softwareVersion},
                          {"resume_after", m_resumeAfter ? std::to_string(*m_resumeAfter) : "-"},
                          {"resumes", m_metadata.resumedAttempt.empty() ? "-" : m_metadata.resumedAttempt},
+                         {"fingerprint", toHexadecimal(m_fingerprint)},
                          {"entries", std::to_string(m_context.planner.liveEntries(m_sentAt))}});
     m_exchange = m_context.pool.acquire(placed.endpoint);
     const auto self = shared_from_this();
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -111,6 +111,8 @@
     timer_id m_timer = 0;
 
     placement_request m_placementRequest;
+    /// See fingerprintOf().
+    std::uint64_t m_fingerprint = 0;
     /// IDs of the parts of the prompt that other requests may share.
     part_set m_sharedParts;
     /// Whether an answer to the current attempt has shown that the parts crash no endpoint.
--- a/src/membership/hash.h
+++ b/src/membership/hash.h
@@ -1,6 +1,8 @@
 /// Hashes that are the same at every entry and in every build; std::hash differs between libraries.
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <numeric>
 #include <string_view>
@@ -25,4 +27,21 @@
     });
 }
 
+/// Hashes eight bytes at a time, for texts of up to megabytes.
+[[nodiscard]] constexpr std::uint64_t hashBytes(std::string_view bytes, std::uint64_t seed)
+{
+    constexpr std::size_t wordBytes = 8;
+    constexpr std::uint64_t multiplier = 0x9fb21c651e98df25ULL;
+    std::uint64_t hash = seed;
+    for (std::size_t begin = 0; begin < bytes.size(); begin += wordBytes) {
+        std::uint64_t word = 0;
+        for (std::size_t i = 0; i < std::min(wordBytes, bytes.size() - begin); ++i) {
+            word |= std::uint64_t{static_cast<unsigned char>(bytes[begin + i])} << (wordBytes * i);
+        }
+        hash = (hash ^ word) * multiplier;
+        hash ^= hash >> 32U;
+    }
+    return mixBits(hash);
+}
+
 } // namespace wisteriashunt
