Name the quarantine after requests, of which prompts are one kind

A rename only: prompt_quarantine to request_quarantine, part_set to trait_set, held_parts to held_traits. Whole requests are to be held by the same mechanism.

--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -136,7 +136,7 @@
     no_endpoint,
     /// No endpoint can take the request within its limits.
     overloaded,
-    /// Endpoints have crashed under such requests; see prompt_quarantine.
+    /// Endpoints have crashed under such requests; see request_quarantine.
     quarantined,
 };
 
--- a/src/dispatch/prompt_quarantine.cpp
+++ b/src/dispatch/request_quarantine.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/prompt_quarantine.h"
+#include "dispatch/request_quarantine.h"
 
 #include <algorithm>
 #include <cmath>
@@ -10,19 +10,19 @@
 namespace
 {
 
-bool isSubset(const part_set &parts, const part_set &of)
+bool isSubset(const trait_set &parts, const trait_set &of)
 {
     return std::includes(of.begin(), of.end(), parts.begin(), parts.end());
 }
 
 } // namespace
 
-prompt_quarantine::prompt_quarantine(const prompt_quarantine_options &options)
+request_quarantine::request_quarantine(const request_quarantine_options &options)
     : m_options(options)
 {
 }
 
-std::vector<const prompt_quarantine::held_state *> prompt_quarantine::heldWithin(const std::string &service, const part_set &parts) const
+std::vector<const request_quarantine::held_state *> request_quarantine::heldWithin(const std::string &service, const trait_set &parts) const
 {
     std::vector<const held_state *> found;
     const auto state = m_services.find(service);
@@ -37,7 +37,7 @@
     return found;
 }
 
-quarantine_verdict prompt_quarantine::check(const std::string &service, const part_set &parts, time_point now) const
+quarantine_verdict request_quarantine::check(const std::string &service, const trait_set &parts, time_point now) const
 {
     const auto held = heldWithin(service, parts);
     if (held.empty()) {
@@ -47,7 +47,7 @@
     return isDue ? quarantine_verdict::trial : quarantine_verdict::held;
 }
 
-duration prompt_quarantine::untilTrial(const std::string &service, const part_set &parts, time_point now) const
+duration request_quarantine::untilTrial(const std::string &service, const trait_set &parts, time_point now) const
 {
     duration wait{};
     for (const auto *held : heldWithin(service, parts)) {
@@ -56,7 +56,7 @@
     return wait;
 }
 
-void prompt_quarantine::onTrial(const std::string &service, const part_set &parts, time_point now)
+void request_quarantine::onTrial(const std::string &service, const trait_set &parts, time_point now)
 {
     for (auto &[combination, held] : m_services[service].held) {
         if (isSubset(combination, parts)) {
@@ -67,7 +67,7 @@
     }
 }
 
-bool prompt_quarantine::mayRepeat(const std::string &service, const part_set &parts) const
+bool request_quarantine::mayRepeat(const std::string &service, const trait_set &parts) const
 {
     const auto state = m_services.find(service);
     if (state == m_services.end() || state->second.suspects.empty()) {
@@ -78,7 +78,7 @@
     });
 }
 
-bool prompt_quarantine::isExplained(const service_state &state, const known_crash &crash, std::uint64_t part)
+bool request_quarantine::isExplained(const service_state &state, const known_crash &crash, std::uint64_t part)
 {
     return std::any_of(state.held.begin(), state.held.end(), [&](const auto &held) {
         const auto &combination = held.first;
@@ -88,7 +88,7 @@
     });
 }
 
-std::set<std::uint64_t> prompt_quarantine::unexplainedCrashes(const service_state &state, std::uint64_t part)
+std::set<std::uint64_t> request_quarantine::unexplainedCrashes(const service_state &state, std::uint64_t part)
 {
     std::set<std::uint64_t> crashes;
     const auto suspects = state.suspects.find(part);
@@ -103,7 +103,7 @@
     return crashes;
 }
 
-std::size_t prompt_quarantine::countSeparate(const service_state &state, const std::set<std::uint64_t> &crashes) const
+std::size_t request_quarantine::countSeparate(const service_state &state, const std::set<std::uint64_t> &crashes) const
 {
     std::vector<time_point> times;
     for (const auto key : crashes) {
@@ -121,7 +121,7 @@
     return count;
 }
 
-std::size_t prompt_quarantine::requestsNeeded(const service_state &state, std::uint64_t part, time_point since, std::uint64_t answersSince) const
+std::size_t request_quarantine::requestsNeeded(const service_state &state, std::uint64_t part, time_point since, std::uint64_t answersSince) const
 {
     // Requests that broke beside one with the part say nothing about how often others break without it.
     std::size_t otherBroken = 0;
@@ -136,7 +136,7 @@
     return std::max(m_options.requestsToHold, static_cast<std::size_t>(std::ceil(needed)));
 }
 
-bool prompt_quarantine::isLikelyCause(const service_state &state, std::uint64_t part, const std::set<std::uint64_t> &crashes) const
+bool request_quarantine::isLikelyCause(const service_state &state, std::uint64_t part, const std::set<std::uint64_t> &crashes) const
 {
     if (crashes.size() < m_options.crashesToHold) {
         return false;
@@ -162,7 +162,7 @@
     return areEnough && ((areNoAccidents && (isServiceAnswering || isOnlyUnanswered)) || isMainSuspect);
 }
 
-prompt_quarantine::known_crash &prompt_quarantine::addCrash(service_state &state, const crash_report &crash, time_point now)
+request_quarantine::known_crash &request_quarantine::addCrash(service_state &state, const crash_report &crash, time_point now)
 {
     const auto at = now - crash.age;
     const auto [position, isNew] = state.crashes.try_emplace(crash.endpoint);
@@ -185,7 +185,7 @@
     return known;
 }
 
-void prompt_quarantine::onCrash(const crash_report &crash, time_point now)
+void request_quarantine::onCrash(const crash_report &crash, time_point now)
 {
     auto &state = m_services[crash.service];
     forgetOutdated(crash.service, state, now);
@@ -197,7 +197,7 @@
     holdLikelyCauses(crash.service, state, known, now);
 }
 
-void prompt_quarantine::noteCrashUnderHeld(service_state &state, std::uint64_t crashKey, time_point now)
+void request_quarantine::noteCrashUnderHeld(service_state &state, std::uint64_t crashKey, time_point now)
 {
     const auto &requests = state.crashes.at(crashKey).suspects;
     for (auto &[combination, held] : state.held) {
@@ -218,16 +218,16 @@
     }
 }
 
-void prompt_quarantine::holdLikelyCauses(const std::string &service, service_state &state, const known_crash &crash, time_point now)
+void request_quarantine::holdLikelyCauses(const std::string &service, service_state &state, const known_crash &crash, time_point now)
 {
-    part_set parts;
+    trait_set parts;
     for (const auto &request : crash.suspects) {
         parts.insert(request.parts.begin(), request.parts.end());
     }
     while (true) {
         // The largest set of crashes goes first: once its parts are held, they explain crashes that implicate others as well.
         std::set<std::uint64_t> mostCrashes;
-        part_set likelyCauses;
+        trait_set likelyCauses;
         for (const auto part : parts) {
             const auto suspects = state.suspects.find(part);
             if (suspects == state.suspects.end() || suspects->second.size() < m_options.crashesToHold) {
@@ -252,7 +252,8 @@
     }
 }
 
-void prompt_quarantine::hold(const std::string &service, service_state &state, const part_set &parts, held_state held, std::string_view reason, time_point now)
+void request_quarantine::hold(
+    const std::string &service, service_state &state, const trait_set &parts, held_state held, std::string_view reason, time_point now)
 {
     releaseSupersets(service, state, parts, now);
     if (state.held.size() >= m_options.maxHeld) {
@@ -266,7 +267,7 @@
     m_hasNews = true;
 }
 
-void prompt_quarantine::releaseSupersets(const std::string &service, service_state &state, const part_set &parts, time_point now)
+void request_quarantine::releaseSupersets(const std::string &service, service_state &state, const trait_set &parts, time_point now)
 {
     for (auto held = state.held.begin(); held != state.held.end();) {
         if (held->first != parts && isSubset(parts, held->first)) {
@@ -278,7 +279,7 @@
     }
 }
 
-void prompt_quarantine::onAnswered(const std::string &service, const part_set &parts, time_point now)
+void request_quarantine::onAnswered(const std::string &service, const trait_set &parts, time_point now)
 {
     auto &state = m_services[service];
     ++state.answers;
@@ -293,7 +294,7 @@
     }
 }
 
-void prompt_quarantine::clear(const std::string &service, service_state &state, std::uint64_t part, time_point at, std::string_view reason, time_point now)
+void request_quarantine::clear(const std::string &service, service_state &state, std::uint64_t part, time_point at, std::string_view reason, time_point now)
 {
     if (const auto suspects = state.suspects.find(part); suspects != state.suspects.end()) {
         std::erase_if(suspects->second, [&](const auto &suspicion) { return state.crashes.at(suspicion.first).at <= at; });
@@ -301,7 +302,7 @@
             state.suspects.erase(suspects);
         }
     }
-    std::vector<part_set> combinations;
+    std::vector<trait_set> combinations;
     for (const auto &[combination, held] : state.held) {
         if (combination.contains(part) && held.heldAt <= at) {
             combinations.push_back(combination);
@@ -310,7 +311,7 @@
     for (const auto &combination : combinations) {
         auto released = state.held.extract(combination);
         noteChange(service, combination, released.mapped(), false, reason, now);
-        part_set rest = combination;
+        trait_set rest = combination;
         rest.erase(part);
         if (!rest.empty() && !state.held.contains(rest)) {
             hold(service, state, rest, released.mapped(), "told_apart", now);
@@ -318,13 +319,13 @@
     }
 }
 
-void prompt_quarantine::tellClearance(service_state &state, std::uint64_t part, time_point at)
+void request_quarantine::tellClearance(service_state &state, std::uint64_t part, time_point at)
 {
     state.clearances[part] = {.at = at, .repetitions = m_options.repetitions};
     m_hasNews = true;
 }
 
-void prompt_quarantine::rememberAnswer(answer_memory &memory, std::uint64_t part, time_point now) const
+void request_quarantine::rememberAnswer(answer_memory &memory, std::uint64_t part, time_point now) const
 {
     if (memory.recent.size() >= m_options.maxRememberedAnswers / 2) {
         memory.older = std::exchange(memory.recent, {});
@@ -333,7 +334,7 @@
     last = std::max(last, now);
 }
 
-time_point prompt_quarantine::lastAnswered(const answer_memory &memory, std::uint64_t part)
+time_point request_quarantine::lastAnswered(const answer_memory &memory, std::uint64_t part)
 {
     time_point last;
     for (const auto *answers : {&memory.recent, &memory.older}) {
@@ -344,7 +345,7 @@
     return last;
 }
 
-void prompt_quarantine::forgetCrash(service_state &state, std::uint64_t crashKey)
+void request_quarantine::forgetCrash(service_state &state, std::uint64_t crashKey)
 {
     for (const auto &request : state.crashes.at(crashKey).suspects) {
         for (const auto part : request.parts) {
@@ -357,7 +358,7 @@
     state.crashes.erase(crashKey);
 }
 
-void prompt_quarantine::forgetOutdated(const std::string &service, service_state &state, time_point now)
+void request_quarantine::forgetOutdated(const std::string &service, service_state &state, time_point now)
 {
     const auto isOlder = [](const auto &left, const auto &right) { return left.second.at < right.second.at; };
     while (!state.crashes.empty()) {
@@ -377,12 +378,12 @@
     }
 }
 
-bool prompt_quarantine::hasNews() const
+bool request_quarantine::hasNews() const
 {
     return m_hasNews;
 }
 
-quarantine_digest prompt_quarantine::digest(time_point now)
+quarantine_digest request_quarantine::digest(time_point now)
 {
     quarantine_digest result;
     const bool tellsHeld = m_hasNews || now - m_heldToldAt >= m_options.heldPeriod;
@@ -416,7 +417,7 @@
     return result;
 }
 
-void prompt_quarantine::onPeerDigest(const quarantine_digest &digest, time_point now)
+void request_quarantine::onPeerDigest(const quarantine_digest &digest, time_point now)
 {
     // Clearances come first, so that the crashes of the same digest do not hold what its sender has cleared since.
     for (const auto &told : digest.clearances) {
@@ -447,11 +448,11 @@
     }
 }
 
-void prompt_quarantine::adopt(const held_parts &told, time_point now)
+void request_quarantine::adopt(const held_traits &told, time_point now)
 {
     auto &state = m_services[told.service];
     const auto heldAt = now - told.age;
-    part_set parts = told.parts;
+    trait_set parts = told.parts;
     for (const auto part : told.parts) {
         const auto answeredAt = lastAnswered(state.answered, part);
         if (answeredAt > heldAt) {
@@ -475,8 +476,8 @@
     }
 }
 
-void prompt_quarantine::noteChange(
-    const std::string &service, const part_set &parts, const held_state &held, bool isHeld, std::string_view reason, time_point now)
+void request_quarantine::noteChange(
+    const std::string &service, const trait_set &parts, const held_state &held, bool isHeld, std::string_view reason, time_point now)
 {
     m_changes.push_back({.held = {.service = service,
                                   .parts = parts,
@@ -487,12 +488,12 @@
                          .reason = std::string(reason)});
 }
 
-std::vector<held_change> prompt_quarantine::takeChanges()
+std::vector<held_change> request_quarantine::takeChanges()
 {
     return std::exchange(m_changes, {});
 }
 
-std::size_t prompt_quarantine::heldCombinations() const
+std::size_t request_quarantine::heldCombinations() const
 {
     std::size_t count = 0;
     for (const auto &[service, state] : m_services) {
--- a/src/dispatch/prompt_quarantine.h
+++ b/src/dispatch/request_quarantine.h
@@ -21,14 +21,14 @@
 {
 
 /// IDs of parts of one prompt that other prompts may share.
-using part_set = std::set<std::uint64_t>;
+using trait_set = std::set<std::uint64_t>;
 
 /// A request that an endpoint had not begun to answer when it crashed.
 struct suspect_request
 {
     /// Hash of the ID of the caller's attempt.
     std::uint64_t attempt = 0;
-    part_set parts;
+    trait_set parts;
 
     auto operator<=>(const suspect_request &) const = default;
 };
@@ -56,17 +56,17 @@
 };
 
 /// A held combination of parts. Requests with all of them are refused, except for one trial at a time.
-struct held_parts
+struct held_traits
 {
     std::string service;
-    part_set parts;
+    trait_set parts;
     /// Crashes under requests with the parts.
     int crashes = 0;
     /// Time since they were held.
     duration age{};
     duration untilTrial{};
 
-    bool operator==(const held_parts &) const = default;
+    bool operator==(const held_traits &) const = default;
 };
 
 /// Part of a message between entries that concerns prompts that crash endpoints.
@@ -74,13 +74,13 @@
 {
     std::vector<crash_report> crashes;
     std::vector<clearance> clearances;
-    std::vector<held_parts> held;
+    std::vector<held_traits> held;
 
     bool operator==(const quarantine_digest &) const = default;
 };
 
-/// Settings of a prompt_quarantine.
-struct prompt_quarantine_options
+/// Settings of a request_quarantine.
+struct request_quarantine_options
 {
     /// Crashes within this time of each other count as one: endpoints that fail together have a common cause of another kind.
     duration crashSeparation = std::chrono::milliseconds(100);
@@ -129,7 +129,7 @@
 /// What may be done with a request.
 enum class quarantine_verdict {
     free,
-    /// The request is the trial of held parts; see prompt_quarantine::onTrial().
+    /// The request is the trial of held parts; see request_quarantine::onTrial().
     trial,
     held,
 };
@@ -137,31 +137,31 @@
 /// A change of the held parts.
 struct held_change
 {
-    held_parts held;
+    held_traits held;
     bool isHeld = false;
     /// "crashes" or "peer" if they are held now; "answered", "peer_answered", "told_apart" or "expired" if they no longer are.
     std::string reason;
 };
 
 /// Not thread-safe.
-class prompt_quarantine
+class request_quarantine
 {
 public:
-    explicit prompt_quarantine(const prompt_quarantine_options &options = {});
+    explicit request_quarantine(const request_quarantine_options &options = {});
 
     /// Decides about a request with these parts.
-    [[nodiscard]] quarantine_verdict check(const std::string &service, const part_set &parts, time_point now) const;
+    [[nodiscard]] quarantine_verdict check(const std::string &service, const trait_set &parts, time_point now) const;
     /// Returns the time until a request with these parts may be tried; zero if they are not held.
-    [[nodiscard]] duration untilTrial(const std::string &service, const part_set &parts, time_point now) const;
+    [[nodiscard]] duration untilTrial(const std::string &service, const trait_set &parts, time_point now) const;
     /// Records that a request for which check() returned trial is sent.
-    void onTrial(const std::string &service, const part_set &parts, time_point now);
+    void onTrial(const std::string &service, const trait_set &parts, time_point now);
     /// Returns whether a request with these parts may be sent again after its endpoint failed before answering.
-    [[nodiscard]] bool mayRepeat(const std::string &service, const part_set &parts) const;
+    [[nodiscard]] bool mayRepeat(const std::string &service, const trait_set &parts) const;
 
     /// Records a crash that this entry saw.
     void onCrash(const crash_report &crash, time_point now);
     /// Records that a request with these parts was answered, or has been for so long that it does not crash its endpoint.
-    void onAnswered(const std::string &service, const part_set &parts, time_point now);
+    void onAnswered(const std::string &service, const trait_set &parts, time_point now);
 
     /// Returns whether the next digest tells peers of something new.
     [[nodiscard]] bool hasNews() const;
@@ -214,13 +214,13 @@
     {
         std::map<std::uint64_t, known_crash> crashes;
         std::unordered_map<std::uint64_t, suspicions> suspects;
-        std::map<part_set, held_state> held;
+        std::map<trait_set, held_state> held;
         answer_memory answered;
         std::uint64_t answers = 0;
         std::map<std::uint64_t, pending_clearance> clearances;
     };
 
-    [[nodiscard]] std::vector<const held_state *> heldWithin(const std::string &service, const part_set &parts) const;
+    [[nodiscard]] std::vector<const held_state *> heldWithin(const std::string &service, const trait_set &parts) const;
     /// Returns whether the crash came under a request with held parts, of which this part is none.
     [[nodiscard]] static bool isExplained(const service_state &state, const known_crash &crash, std::uint64_t part);
     /// Returns the crashes that implicate the part and that held parts do not explain.
@@ -233,18 +233,18 @@
     void noteCrashUnderHeld(service_state &state, std::uint64_t crashKey, time_point now);
     /// Holds parts until no further one is a likely cause.
     void holdLikelyCauses(const std::string &service, service_state &state, const known_crash &crash, time_point now);
-    void hold(const std::string &service, service_state &state, const part_set &parts, held_state held, std::string_view reason, time_point now);
-    void releaseSupersets(const std::string &service, service_state &state, const part_set &parts, time_point now);
+    void hold(const std::string &service, service_state &state, const trait_set &parts, held_state held, std::string_view reason, time_point now);
+    void releaseSupersets(const std::string &service, service_state &state, const trait_set &parts, time_point now);
     void clear(const std::string &service, service_state &state, std::uint64_t part, time_point at, std::string_view reason, time_point now);
-    void adopt(const held_parts &told, time_point now);
+    void adopt(const held_traits &told, time_point now);
     void tellClearance(service_state &state, std::uint64_t part, time_point at);
     void rememberAnswer(answer_memory &memory, std::uint64_t part, time_point now) const;
     [[nodiscard]] static time_point lastAnswered(const answer_memory &memory, std::uint64_t part);
     void forgetOutdated(const std::string &service, service_state &state, time_point now);
     void forgetCrash(service_state &state, std::uint64_t crashKey);
-    void noteChange(const std::string &service, const part_set &parts, const held_state &held, bool isHeld, std::string_view reason, time_point now);
+    void noteChange(const std::string &service, const trait_set &parts, const held_state &held, bool isHeld, std::string_view reason, time_point now);
 
-    prompt_quarantine_options m_options;
+    request_quarantine_options m_options;
     std::map<std::string, service_state> m_services;
     std::vector<held_change> m_changes;
     bool m_hasNews = false;
--- a/src/gateway/endpoint_crash_watch.cpp
+++ b/src/gateway/endpoint_crash_watch.cpp
@@ -5,7 +5,7 @@
 namespace wisteriashunt
 {
 
-std::string hexadecimalList(const part_set &parts)
+std::string hexadecimalList(const trait_set &parts)
 {
     constexpr std::size_t maxListed = 16;
     std::ostringstream text;
@@ -66,7 +66,7 @@
         return;
     }
     suspected.connection->close();
-    part_set parts;
+    trait_set parts;
     std::set<std::uint64_t> fingerprints;
     for (const auto &attempt : suspected.crash.attempts) {
         parts.insert(attempt.parts.begin(), attempt.parts.end());
--- a/src/gateway/endpoint_crash_watch.h
+++ b/src/gateway/endpoint_crash_watch.h
@@ -1,7 +1,7 @@
 /// Tells crashes of endpoints from connections that only broke.
 #pragma once
 
-#include "dispatch/prompt_quarantine.h"
+#include "dispatch/request_quarantine.h"
 #include "gateway/endpoint_pool.h"
 #include "gateway/event_log.h"
 #include "net/event_loop.h"
@@ -23,7 +23,7 @@
     /// See fingerprintOf().
     std::uint64_t fingerprint = 0;
     /// IDs of the parts of its prompt that other requests may share.
-    part_set parts;
+    trait_set parts;
 
     bool operator==(const unbegun_attempt &) const = default;
 };
@@ -38,7 +38,7 @@
 };
 
 /// Lists the parts in hexadecimal, as callers write them, separated by commas; the first ones if there are many. Returns "-" if there are none.
-[[nodiscard]] std::string hexadecimalList(const part_set &parts);
+[[nodiscard]] std::string hexadecimalList(const trait_set &parts);
 
 /// Settings of an endpoint_crash_watch.
 struct crash_watch_options
--- a/src/gateway/entry_message.cpp
+++ b/src/gateway/entry_message.cpp
@@ -192,7 +192,7 @@
     return packed;
 }
 
-std::vector<packed_held> packHeld(const std::vector<held_parts> &held)
+std::vector<packed_held> packHeld(const std::vector<held_traits> &held)
 {
     std::vector<packed_held> packed;
     for (const auto &each : held) {
--- a/src/gateway/entry_message.h
+++ b/src/gateway/entry_message.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "dispatch/placement.h"
-#include "dispatch/prompt_quarantine.h"
+#include "dispatch/request_quarantine.h"
 #include "dispatch/stream_versions.h"
 #include "dispatch/zone_exchange.h"
 #include "net/byte_channel.h"
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -94,7 +94,7 @@
     endpoint_roster m_roster;
     placement_planner m_planner;
     stream_versions m_streams;
-    prompt_quarantine m_quarantine;
+    request_quarantine m_quarantine;
     endpoint_pool m_pool;
     endpoint_crash_watch m_crashes;
     metrics m_counters;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "dispatch/placement.h"
-#include "dispatch/prompt_quarantine.h"
+#include "dispatch/request_quarantine.h"
 #include "dispatch/retry_allowance.h"
 #include "dispatch/stream_versions.h"
 #include "dispatch/waiting_line.h"
@@ -47,7 +47,7 @@
     endpoint_roster &roster;
     placement_planner &planner;
     stream_versions &streams;
-    prompt_quarantine &quarantine;
+    request_quarantine &quarantine;
     endpoint_pool &pool;
     endpoint_crash_watch &crashes;
     metrics &counters;
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -262,7 +262,7 @@
     if (m_placed && (!m_hasFirstByte || m_context.loop.now() - m_firstByteAt < minAnswered)) {
         m_context.crashes.onBroken(
             m_placed->endpoint,
-            {.attemptId = m_metadata.attemptId, .fingerprint = m_fingerprint, .parts = m_placementRequest.hasPrompt ? m_sharedParts : part_set{}});
+            {.attemptId = m_metadata.attemptId, .fingerprint = m_fingerprint, .parts = m_placementRequest.hasPrompt ? m_sharedParts : trait_set{}});
     }
 }
 
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -38,9 +38,9 @@
 }
 
 /// Returns the IDs of all parts but the last, which belongs to the request itself or to its session.
-part_set sharedParts(const std::vector<prompt_part> &prompt)
+trait_set sharedParts(const std::vector<prompt_part> &prompt)
 {
-    part_set ids;
+    trait_set ids;
     for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
         ids.insert(prompt[i].id);
     }
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -114,7 +114,7 @@
     /// See fingerprintOf().
     std::uint64_t m_fingerprint = 0;
     /// IDs of the parts of the prompt that other requests may share.
-    part_set m_sharedParts;
+    trait_set m_sharedParts;
     /// Whether an answer to the current attempt has shown that the parts crash no endpoint.
     bool m_hasCleared = false;
     std::optional<admission_queue::ticket> m_ticket;
--- a/test/prompt_quarantine_fleet_test.cpp
+++ b/test/prompt_quarantine_fleet_test.cpp
@@ -1,5 +1,5 @@
 // Plays fleets of entries before endpoints that crash, because of parts of prompts or for other reasons.
-#include "dispatch/prompt_quarantine.h"
+#include "dispatch/request_quarantine.h"
 
 #include <gtest/gtest.h>
 
@@ -85,7 +85,7 @@
     struct running_request
     {
         std::uint64_t attempt = 0;
-        part_set parts;
+        trait_set parts;
         /// 0 if the request has none.
         std::uint64_t deadlyPart = 0;
         std::size_t entry = 0;
@@ -296,7 +296,7 @@
 
     fleet_case m_case;
     std::mt19937 m_random;
-    std::vector<prompt_quarantine> m_entries;
+    std::vector<request_quarantine> m_entries;
     std::vector<time_point> m_downUntil;
     std::vector<int> m_starts;
     std::deque<running_request> m_running;
--- a/test/prompt_quarantine_test.cpp
+++ b/test/prompt_quarantine_test.cpp
@@ -1,5 +1,5 @@
 // Tests which prompts one entry holds for crashes of endpoints.
-#include "dispatch/prompt_quarantine.h"
+#include "dispatch/request_quarantine.h"
 
 #include <gtest/gtest.h>
 
@@ -20,7 +20,7 @@
 {
 protected:
     /// A crash of a further endpoint under one request with these parts, after others were answered.
-    void crashUnder(const part_set &parts, std::uint64_t attempt = 0)
+    void crashUnder(const trait_set &parts, std::uint64_t attempt = 0)
     {
         m_now += seconds(1);
         answerOthers();
@@ -40,7 +40,7 @@
         return {.service = service, .endpoint = ++m_endpoints, .suspects = std::move(suspects)};
     }
 
-    quarantine_verdict check(const part_set &parts) const
+    quarantine_verdict check(const trait_set &parts) const
     {
         return m_quarantine.check(service, parts, m_now);
     }
@@ -53,7 +53,7 @@
     }
 
     time_point m_now{seconds(1000)};
-    prompt_quarantine m_quarantine;
+    request_quarantine m_quarantine;
     std::uint64_t m_attempts = 0;
     std::uint64_t m_endpoints = 0;
 };
@@ -170,8 +170,8 @@
 TEST_F(prompt_quarantine_test, TriesOneRequestAndFreesItsPartsWhenItIsAnswered)
 {
     holdDeadlyPart();
-    EXPECT_EQ(m_quarantine.untilTrial(service, {deadlyPart}, m_now), prompt_quarantine_options{}.firstTrialAfter);
-    m_now += prompt_quarantine_options{}.firstTrialAfter;
+    EXPECT_EQ(m_quarantine.untilTrial(service, {deadlyPart}, m_now), request_quarantine_options{}.firstTrialAfter);
+    m_now += request_quarantine_options{}.firstTrialAfter;
     EXPECT_EQ(check({deadlyPart}), quarantine_verdict::trial);
     m_quarantine.onTrial(service, {deadlyPart}, m_now);
     EXPECT_EQ(check({deadlyPart}), quarantine_verdict::held) << "one trial at a time";
@@ -181,7 +181,7 @@
 
 TEST_F(prompt_quarantine_test, WaitsLongerAfterEachTrialThatCrashesAnEndpoint)
 {
-    const prompt_quarantine_options options;
+    const request_quarantine_options options;
     holdDeadlyPart();
     duration expected = options.trialPause;
     for (int trial = 0; trial < 2; ++trial) {
@@ -196,9 +196,9 @@
 TEST_F(prompt_quarantine_test, TriesAgainWhenATrialHasNoResult)
 {
     holdDeadlyPart();
-    m_now += prompt_quarantine_options{}.firstTrialAfter;
+    m_now += request_quarantine_options{}.firstTrialAfter;
     m_quarantine.onTrial(service, {deadlyPart}, m_now);
-    m_now += prompt_quarantine_options{}.trialTimeout;
+    m_now += request_quarantine_options{}.trialTimeout;
     EXPECT_EQ(check({deadlyPart}), quarantine_verdict::trial);
 }
 
@@ -206,7 +206,7 @@
 {
     crashUnder({deadlyPart});
     crashUnder({deadlyPart});
-    m_now += prompt_quarantine_options{}.memory;
+    m_now += request_quarantine_options{}.memory;
     crashUnder({deadlyPart});
     EXPECT_EQ(check({deadlyPart}), quarantine_verdict::free);
 }
@@ -217,7 +217,7 @@
     EXPECT_TRUE(m_quarantine.hasNews());
     const auto told = m_quarantine.digest(m_now);
     EXPECT_FALSE(m_quarantine.hasNews());
-    prompt_quarantine peer;
+    request_quarantine peer;
     peer.onPeerDigest(told, m_now);
     EXPECT_EQ(peer.check(service, {deadlyPart}, m_now), quarantine_verdict::held);
     peer.onAnswered(service, {deadlyPart}, m_now + milliseconds(1));
@@ -231,8 +231,8 @@
     for (int i = 0; i < 20; ++i) {
         static_cast<void>(m_quarantine.digest(m_now));
     }
-    m_now += prompt_quarantine_options{}.heldPeriod;
-    prompt_quarantine restarted;
+    m_now += request_quarantine_options{}.heldPeriod;
+    request_quarantine restarted;
     restarted.onPeerDigest(m_quarantine.digest(m_now), m_now);
     EXPECT_EQ(restarted.check(service, {deadlyPart}, m_now), quarantine_verdict::held);
 }
@@ -273,7 +273,7 @@
             crashUnder({part});
         }
     }
-    EXPECT_LE(m_quarantine.heldCombinations(), prompt_quarantine_options{}.maxHeld);
+    EXPECT_LE(m_quarantine.heldCombinations(), request_quarantine_options{}.maxHeld);
 }
 
 } // namespace
