--- a/include/wisteriashunt/errors.h
+++ b/include/wisteriashunt/errors.h
@@ -35,6 +35,7 @@
     peer_rejected,
     malformed_frame,
     prompt_quarantined,
+    request_quarantined,
 };
 
 /// Whether the requested work may have run. Work that has not run can be requested again without running twice.
--- a/src/configuration/errors.cpp
+++ b/src/configuration/errors.cpp
@@ -43,6 +43,7 @@
     error_answer{peer_rejected, "peer_rejected", 403, not_run, false, "A peer failed the handshake."},
     error_answer{malformed_frame, "malformed_frame", 400, not_run, false, "A peer sent a frame that could not be decoded."},
     error_answer{prompt_quarantined, "prompt_quarantined", 503, not_run, true, "Endpoints have crashed when they began to answer a part of the prompt."},
+    error_answer{request_quarantined, "request_quarantined", 503, not_run, true, "Endpoints have crashed when they ran the same request."},
 };
 
 constexpr bool isIndexedByKind()
@@ -52,7 +53,7 @@
             return false;
         }
     }
-    return table.size() == static_cast<std::size_t>(prompt_quarantined) + 1;
+    return table.size() == static_cast<std::size_t>(request_quarantined) + 1;
 }
 
 static_assert(isIndexedByKind(), "the table holds one row per kind, in the order of the enumeration");
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -137,7 +137,8 @@
     /// No endpoint can take the request within its limits.
     overloaded,
     /// Endpoints have crashed under such requests; see request_quarantine.
-    quarantined,
+    prompt_quarantined,
+    request_quarantined,
 };
 
 /// Result of placement_planner::place().
--- a/src/dispatch/request_quarantine.cpp
+++ b/src/dispatch/request_quarantine.cpp
@@ -1,7 +1,8 @@
 #include "dispatch/request_quarantine.h"
 
+#include "membership/hash.h"
+
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace wisteriashunt
@@ -10,9 +11,13 @@
 namespace
 {
 
-bool isSubset(const trait_set &parts, const trait_set &of)
+trait_set traitsOf(const std::vector<suspect_request> &requests)
 {
-    return std::includes(of.begin(), of.end(), parts.begin(), parts.end());
+    trait_set traits;
+    for (const auto &request : requests) {
+        traits.insert(request.traits.begin(), request.traits.end());
+    }
+    return traits;
 }
 
 } // namespace
@@ -22,44 +27,61 @@
 {
 }
 
-std::vector<const request_quarantine::held_state *> request_quarantine::heldWithin(const std::string &service, const trait_set &parts) const
+std::vector<std::pair<const trait_set *, const request_quarantine::held_state *>> request_quarantine::heldWithin(const std::string &service,
+                                                                                                                 const trait_set &traits) const
 {
-    std::vector<const held_state *> found;
+    std::vector<std::pair<const trait_set *, const held_state *>> found;
     const auto state = m_services.find(service);
     if (state == m_services.end()) {
         return found;
     }
     for (const auto &[combination, held] : state->second.held) {
-        if (isSubset(combination, parts)) {
-            found.push_back(&held);
+        if (isSubset(combination, traits)) {
+            found.emplace_back(&combination, &held);
         }
     }
     return found;
 }
 
-quarantine_verdict request_quarantine::check(const std::string &service, const trait_set &parts, time_point now) const
+time_point request_quarantine::trialTime(const trait_set &combination, const held_state &held) const
+{
+    if (kindOf(combination) == trait_kind::prompt_part) {
+        return held.nextTrial;
+    }
+    constexpr std::uint64_t steps = 64;
+    const auto turn = mixBits(m_options.entryKey ^ combination.begin()->id) % steps;
+    return held.nextTrial + m_options.trialSpread * static_cast<std::int64_t>(turn) / static_cast<std::int64_t>(steps);
+}
+
+quarantine_verdict request_quarantine::check(const std::string &service, const trait_set &traits, time_point now) const
 {
-    const auto held = heldWithin(service, parts);
+    const auto held = heldWithin(service, traits);
     if (held.empty()) {
         return quarantine_verdict::free;
     }
-    const bool isDue = std::all_of(held.begin(), held.end(), [now](const held_state *each) { return now >= each->nextTrial; });
+    const bool isDue = std::all_of(held.begin(), held.end(), [&](const auto &each) { return now >= trialTime(*each.first, *each.second); });
     return isDue ? quarantine_verdict::trial : quarantine_verdict::held;
 }
 
-duration request_quarantine::untilTrial(const std::string &service, const trait_set &parts, time_point now) const
+duration request_quarantine::untilTrial(const std::string &service, const trait_set &traits, time_point now) const
 {
     duration wait{};
-    for (const auto *held : heldWithin(service, parts)) {
-        wait = std::max(wait, held->nextTrial - now);
+    for (const auto &[combination, held] : heldWithin(service, traits)) {
+        wait = std::max(wait, trialTime(*combination, *held) - now);
     }
     return wait;
 }
 
-void request_quarantine::onTrial(const std::string &service, const trait_set &parts, time_point now)
+bool request_quarantine::isWholeRequestHeld(const std::string &service, const trait_set &traits) const
+{
+    const auto held = heldWithin(service, traits);
+    return std::any_of(held.begin(), held.end(), [](const auto &each) { return kindOf(*each.first) == trait_kind::whole_request; });
+}
+
+void request_quarantine::onTrial(const std::string &service, const trait_set &traits, time_point now)
 {
     for (auto &[combination, held] : m_services[service].held) {
-        if (isSubset(combination, parts)) {
+        if (isSubset(combination, traits)) {
             held.isTrialRunning = true;
             held.nextTrial = now + m_options.trialTimeout;
             m_hasNews = true;
@@ -67,101 +89,19 @@
     }
 }
 
-bool request_quarantine::mayRepeat(const std::string &service, const trait_set &parts) const
+bool request_quarantine::mayRepeat(const std::string &service, const trait_set &traits) const
 {
     const auto state = m_services.find(service);
     if (state == m_services.end() || state->second.suspects.empty()) {
         return true;
     }
-    return std::none_of(parts.begin(), parts.end(), [&](std::uint64_t part) {
-        return countSeparate(state->second, unexplainedCrashes(state->second, part)) >= m_options.crashesToStopRepeats;
-    });
-}
-
-bool request_quarantine::isExplained(const service_state &state, const known_crash &crash, std::uint64_t part)
-{
-    return std::any_of(state.held.begin(), state.held.end(), [&](const auto &held) {
-        const auto &combination = held.first;
-        return !combination.contains(part) && std::any_of(crash.suspects.begin(), crash.suspects.end(), [&combination](const suspect_request &request) {
-            return isSubset(combination, request.parts);
-        });
+    return std::none_of(traits.begin(), traits.end(), [&](request_trait trait) {
+        const auto crashes = unexplainedCrashes(state->second, trait);
+        return trait.kind == trait_kind::whole_request ? crashes.size() >= m_options.ownCrashesToStopRepeats
+                                                       : countSeparate(state->second, crashes, m_options.crashSeparation) >= m_options.crashesToStopRepeats;
     });
 }
 
-std::set<std::uint64_t> request_quarantine::unexplainedCrashes(const service_state &state, std::uint64_t part)
-{
-    std::set<std::uint64_t> crashes;
-    const auto suspects = state.suspects.find(part);
-    if (suspects == state.suspects.end()) {
-        return crashes;
-    }
-    for (const auto &[crashKey, attempts] : suspects->second) {
-        if (!isExplained(state, state.crashes.at(crashKey), part)) {
-            crashes.insert(crashKey);
-        }
-    }
-    return crashes;
-}
-
-std::size_t request_quarantine::countSeparate(const service_state &state, const std::set<std::uint64_t> &crashes) const
-{
-    std::vector<time_point> times;
-    for (const auto key : crashes) {
-        times.push_back(state.crashes.at(key).at);
-    }
-    std::sort(times.begin(), times.end());
-    std::size_t count = 0;
-    time_point lastCounted;
-    for (const auto at : times) {
-        if (count == 0 || at - lastCounted >= m_options.crashSeparation) {
-            ++count;
-            lastCounted = at;
-        }
-    }
-    return count;
-}
-
-std::size_t request_quarantine::requestsNeeded(const service_state &state, std::uint64_t part, time_point since, std::uint64_t answersSince) const
-{
-    // Requests that broke beside one with the part say nothing about how often others break without it.
-    std::size_t otherBroken = 0;
-    for (const auto &[key, crash] : state.crashes) {
-        const bool hasPart =
-            std::any_of(crash.suspects.begin(), crash.suspects.end(), [part](const suspect_request &request) { return request.parts.contains(part); });
-        otherBroken += crash.at >= since && !hasPart && !isExplained(state, crash, part) ? crash.ownSuspects.size() : 0;
-    }
-    // Rule of succession: the share of broken requests, starting from one broken and one answered.
-    const double brokenShare = static_cast<double>(otherBroken + 1) / static_cast<double>(otherBroken + answersSince + 2);
-    const double needed = std::log(m_options.accidentProbability) / std::log(brokenShare);
-    return std::max(m_options.requestsToHold, static_cast<std::size_t>(std::ceil(needed)));
-}
-
-bool request_quarantine::isLikelyCause(const service_state &state, std::uint64_t part, const std::set<std::uint64_t> &crashes) const
-{
-    if (crashes.size() < m_options.crashesToHold) {
-        return false;
-    }
-    std::set<std::uint64_t> attempts;
-    std::uint64_t answersBefore = state.answers;
-    time_point first = time_point::max();
-    for (const auto key : crashes) {
-        const auto &implicating = state.suspects.at(part).at(key);
-        const auto &crash = state.crashes.at(key);
-        attempts.insert(implicating.begin(), implicating.end());
-        answersBefore = std::min(answersBefore, crash.answersBefore);
-        first = std::min(first, crash.at);
-    }
-    const auto meanwhile = static_cast<std::size_t>(std::count_if(
-        state.crashes.begin(), state.crashes.end(), [&](const auto &crash) { return crash.second.at >= first && !isExplained(state, crash.second, part); }));
-    const bool areEnough = countSeparate(state, crashes) >= m_options.crashesToHold + meanwhile / m_options.crashesPerFurtherOne;
-    const bool isServiceAnswering = state.answers - answersBefore >= m_options.answersToHold;
-    const bool isOnlyUnanswered = lastAnswered(state.answered, part) == time_point{} && state.answers >= m_options.answersToKnowService;
-    const bool areNoAccidents = attempts.size() >= requestsNeeded(state, part, first, state.answers - answersBefore);
-    const bool isMainSuspect =
-        isOnlyUnanswered && attempts.size() >= m_options.requestsOfMainSuspect && crashes.size() * m_options.crashesPerCrashOfMainSuspect >= meanwhile;
-    return areEnough && ((areNoAccidents && (isServiceAnswering || isOnlyUnanswered)) || isMainSuspect);
-}
-
 request_quarantine::known_crash &request_quarantine::addCrash(service_state &state, const crash_report &crash, time_point now)
 {
     const auto at = now - crash.age;
@@ -176,9 +116,9 @@
             break;
         }
         known.suspects.push_back(request);
-        for (const auto part : request.parts) {
-            if (lastAnswered(state.answered, part) <= at) {
-                state.suspects[part][crash.endpoint].insert(request.attempt);
+        for (const auto trait : request.traits) {
+            if (lastAnswered(state, trait) <= at) {
+                state.suspects[trait][crash.endpoint].insert(request.attempt);
             }
         }
     }
@@ -199,42 +139,86 @@
 
 void request_quarantine::noteCrashUnderHeld(service_state &state, std::uint64_t crashKey, time_point now)
 {
-    const auto &requests = state.crashes.at(crashKey).suspects;
+    const auto &crash = state.crashes.at(crashKey);
     for (auto &[combination, held] : state.held) {
-        const auto &parts = combination;
-        const bool isUnder = std::any_of(requests.begin(), requests.end(), [&parts](const suspect_request &request) { return isSubset(parts, request.parts); });
-        const bool isLater = state.crashes.at(crashKey).at > held.heldAt;
-        if (!isUnder || !isLater || !held.crashes.insert(crashKey).second) {
+        const auto &traits = combination;
+        const bool isUnder =
+            std::any_of(crash.suspects.begin(), crash.suspects.end(), [&traits](const suspect_request &request) { return isSubset(traits, request.traits); });
+        if (!isUnder || crash.at <= held.heldAt || held.crashes.contains(crashKey)) {
             continue;
         }
-        ++held.crashCount;
-        held.failedTrials += std::exchange(held.isTrialRunning, false) ? 1 : 0;
-        duration pause = m_options.trialPause;
-        for (int i = 0; i < held.failedTrials && pause < m_options.maxTrialPause; ++i) {
-            pause *= m_options.trialBackoff;
+        const bool isWholeRequest = kindOf(traits) == trait_kind::whole_request;
+        if (isWholeRequest && !held.isTrialRunning && isExplained(state, crash, *traits.begin())) {
+            continue;
         }
-        held.nextTrial = std::max(held.nextTrial, now + std::min(pause, m_options.maxTrialPause));
+        held.crashes.insert(crashKey);
+        ++held.crashCount;
+        const bool isOfTrialElsewhere = isWholeRequest && crash.at - held.heldAt > m_options.underWayTime;
+        held.failedTrials += std::exchange(held.isTrialRunning, false) || isOfTrialElsewhere ? 1 : 0;
+        held.nextTrial = std::max(held.nextTrial, now + pauseAfterCrash(state, traits, held));
         m_hasNews = true;
     }
 }
 
+duration request_quarantine::pauseAfterCrash(const service_state &state, const trait_set &combination, const held_state &held) const
+{
+    if (held.failedTrials >= m_options.maxTrials) {
+        return m_options.longestHold;
+    }
+    const bool isDoubtful = kindOf(combination) == trait_kind::whole_request && held.failedTrials < m_options.doubtfulTrials
+        && held.crashes.size() < crashesNeeded(state, *combination.begin(), held.crashes);
+    if (isDoubtful) {
+        return m_options.doubtfulTrialAfter;
+    }
+    duration pause = m_options.trialPause;
+    for (int i = 0; i < held.failedTrials && pause < m_options.maxTrialPause; ++i) {
+        pause *= m_options.trialBackoff;
+    }
+    return std::min(pause, m_options.maxTrialPause);
+}
+
 void request_quarantine::holdLikelyCauses(const std::string &service, service_state &state, const known_crash &crash, time_point now)
 {
-    trait_set parts;
-    for (const auto &request : crash.suspects) {
-        parts.insert(request.parts.begin(), request.parts.end());
+    const auto suspects = traitsOf(crash.suspects);
+    holdLikelyParts(service, state, suspects, now);
+    holdLikelyRequests(service, state, suspects, now);
+}
+
+void request_quarantine::holdLikelyRequests(const std::string &service, service_state &state, const trait_set &suspects, time_point now)
+{
+    // All candidates are chosen before the first is held, which would explain the crashes of the others.
+    std::vector<std::pair<request_trait, std::set<std::uint64_t>>> likely;
+    for (const auto trait : suspects) {
+        if (trait.kind != trait_kind::whole_request || state.held.contains({trait})) {
+            continue;
+        }
+        if (auto crashes = unexplainedCrashes(state, trait); isLikelyRequest(state, trait, crashes)) {
+            likely.emplace_back(trait, std::move(crashes));
+        }
+    }
+    for (auto &[trait, crashes] : likely) {
+        const bool isDoubtful = crashes.size() < crashesNeeded(state, trait, crashes);
+        const auto trialAfter = isDoubtful ? m_options.doubtfulTrialAfter : m_options.firstTrialAfter;
+        const auto count = static_cast<int>(crashes.size());
+        hold(service, state, {trait}, {.crashes = std::move(crashes), .crashCount = count, .heldAt = now, .nextTrial = now + trialAfter}, "crashes", now);
     }
+}
+
+void request_quarantine::holdLikelyParts(const std::string &service, service_state &state, const trait_set &suspects, time_point now)
+{
     while (true) {
         // The largest set of crashes goes first: once its parts are held, they explain crashes that implicate others as well.
         std::set<std::uint64_t> mostCrashes;
         trait_set likelyCauses;
-        for (const auto part : parts) {
-            const auto suspects = state.suspects.find(part);
-            if (suspects == state.suspects.end() || suspects->second.size() < m_options.crashesToHold) {
+        for (const auto part : suspects) {
+            const auto implicating = state.suspects.find(part);
+            const bool isSuspected =
+                part.kind == trait_kind::prompt_part && implicating != state.suspects.end() && implicating->second.size() >= m_options.crashesToHold;
+            if (!isSuspected) {
                 continue;
             }
             const auto crashes = unexplainedCrashes(state, part);
-            if (state.held.contains({part}) || !isLikelyCause(state, part, crashes) || crashes.size() < mostCrashes.size()) {
+            if (state.held.contains({part}) || !isLikelyPart(state, part, crashes) || crashes.size() < mostCrashes.size()) {
                 continue;
             }
             if (crashes != mostCrashes) {
@@ -253,24 +237,24 @@
 }
 
 void request_quarantine::hold(
-    const std::string &service, service_state &state, const trait_set &parts, held_state held, std::string_view reason, time_point now)
+    const std::string &service, service_state &state, const trait_set &traits, held_state held, std::string_view reason, time_point now)
 {
-    releaseSupersets(service, state, parts, now);
+    releaseSupersets(service, state, traits, now);
     if (state.held.size() >= m_options.maxHeld) {
         const auto oldest = std::min_element(
             state.held.begin(), state.held.end(), [](const auto &left, const auto &right) { return left.second.heldAt < right.second.heldAt; });
         noteChange(service, oldest->first, oldest->second, false, "expired", now);
         state.held.erase(oldest);
     }
-    noteChange(service, parts, held, true, reason, now);
-    state.held.emplace(parts, std::move(held));
+    noteChange(service, traits, held, true, reason, now);
+    state.held.emplace(traits, std::move(held));
     m_hasNews = true;
 }
 
-void request_quarantine::releaseSupersets(const std::string &service, service_state &state, const trait_set &parts, time_point now)
+void request_quarantine::releaseSupersets(const std::string &service, service_state &state, const trait_set &traits, time_point now)
 {
     for (auto held = state.held.begin(); held != state.held.end();) {
-        if (held->first != parts && isSubset(parts, held->first)) {
+        if (held->first != traits && isSubset(traits, held->first)) {
             noteChange(service, held->first, held->second, false, "told_apart", now);
             held = state.held.erase(held);
         } else {
@@ -279,24 +263,38 @@
     }
 }
 
-void request_quarantine::onAnswered(const std::string &service, const trait_set &parts, time_point now)
+void request_quarantine::onAnswered(const std::string &service, const trait_set &traits, time_point now)
 {
     auto &state = m_services[service];
     ++state.answers;
-    for (const auto part : parts) {
-        rememberAnswer(state.answered, part, now);
-        const bool isSuspected =
-            state.suspects.contains(part) || std::any_of(state.held.begin(), state.held.end(), [part](const auto &held) { return held.first.contains(part); });
+    for (const auto trait : traits) {
+        rememberAnswer(state, trait, now);
+        const bool isSuspected = state.suspects.contains(trait)
+            || std::any_of(state.held.begin(), state.held.end(), [trait](const auto &held) { return held.first.contains(trait); });
         if (isSuspected) {
-            clear(service, state, part, now, "answered", now);
-            tellClearance(state, part, now);
+            clear(service, state, trait, now, "answered", now);
+            tellClearance(state, trait, now);
         }
     }
 }
 
-void request_quarantine::clear(const std::string &service, service_state &state, std::uint64_t part, time_point at, std::string_view reason, time_point now)
+bool request_quarantine::freeByOperator(request_trait trait, time_point now)
 {
-    if (const auto suspects = state.suspects.find(part); suspects != state.suspects.end()) {
+    bool wasHeld = false;
+    for (auto &[service, state] : m_services) {
+        const bool isHeldHere = std::any_of(state.held.begin(), state.held.end(), [trait](const auto &held) { return held.first.contains(trait); });
+        if (isHeldHere) {
+            wasHeld = true;
+            clear(service, state, trait, now, "operator", now);
+            tellClearance(state, trait, now);
+        }
+    }
+    return wasHeld;
+}
+
+void request_quarantine::clear(const std::string &service, service_state &state, request_trait trait, time_point at, std::string_view reason, time_point now)
+{
+    if (const auto suspects = state.suspects.find(trait); suspects != state.suspects.end()) {
         std::erase_if(suspects->second, [&](const auto &suspicion) { return state.crashes.at(suspicion.first).at <= at; });
         if (suspects->second.empty()) {
             state.suspects.erase(suspects);
@@ -304,7 +302,7 @@
     }
     std::vector<trait_set> combinations;
     for (const auto &[combination, held] : state.held) {
-        if (combination.contains(part) && held.heldAt <= at) {
+        if (combination.contains(trait) && held.heldAt <= at) {
             combinations.push_back(combination);
         }
     }
@@ -312,33 +310,36 @@
         auto released = state.held.extract(combination);
         noteChange(service, combination, released.mapped(), false, reason, now);
         trait_set rest = combination;
-        rest.erase(part);
+        rest.erase(trait);
         if (!rest.empty() && !state.held.contains(rest)) {
             hold(service, state, rest, released.mapped(), "told_apart", now);
         }
     }
 }
 
-void request_quarantine::tellClearance(service_state &state, std::uint64_t part, time_point at)
+void request_quarantine::tellClearance(service_state &state, request_trait trait, time_point at)
 {
-    state.clearances[part] = {.at = at, .repetitions = m_options.repetitions};
+    state.clearances[trait] = {.at = at, .repetitions = m_options.repetitions};
     m_hasNews = true;
 }
 
-void request_quarantine::rememberAnswer(answer_memory &memory, std::uint64_t part, time_point now) const
+void request_quarantine::rememberAnswer(service_state &state, request_trait trait, time_point now) const
 {
-    if (memory.recent.size() >= m_options.maxRememberedAnswers / 2) {
+    auto &memory = state.answered.at(static_cast<std::size_t>(trait.kind));
+    const auto most = trait.kind == trait_kind::prompt_part ? m_options.maxRememberedAnswers : m_options.maxRememberedRequests;
+    if (memory.recent.size() >= most / 2) {
         memory.older = std::exchange(memory.recent, {});
     }
-    auto &last = memory.recent[part];
+    auto &last = memory.recent[trait.id];
     last = std::max(last, now);
 }
 
-time_point request_quarantine::lastAnswered(const answer_memory &memory, std::uint64_t part)
+time_point request_quarantine::lastAnswered(const service_state &state, request_trait trait)
 {
+    const auto &memory = state.answered.at(static_cast<std::size_t>(trait.kind));
     time_point last;
     for (const auto *answers : {&memory.recent, &memory.older}) {
-        if (const auto found = answers->find(part); found != answers->end()) {
+        if (const auto found = answers->find(trait.id); found != answers->end()) {
             last = std::max(last, found->second);
         }
     }
@@ -348,8 +349,8 @@
 void request_quarantine::forgetCrash(service_state &state, std::uint64_t crashKey)
 {
     for (const auto &request : state.crashes.at(crashKey).suspects) {
-        for (const auto part : request.parts) {
-            const auto suspects = state.suspects.find(part);
+        for (const auto trait : request.traits) {
+            const auto suspects = state.suspects.find(trait);
             if (suspects != state.suspects.end() && suspects->second.erase(crashKey) > 0 && suspects->second.empty()) {
                 state.suspects.erase(suspects);
             }
@@ -397,18 +398,14 @@
                 --crash.repetitions;
             }
         }
-        for (auto &[part, told] : state.clearances) {
-            result.clearances.push_back({.service = service, .part = part, .age = now - told.at});
+        for (auto &[trait, told] : state.clearances) {
+            result.clearances.push_back({.service = service, .trait = trait, .age = now - told.at});
             --told.repetitions;
         }
         std::erase_if(state.clearances, [](const auto &told) { return told.second.repetitions <= 0; });
         for (const auto &[combination, held] : state.held) {
             if (tellsHeld) {
-                result.held.push_back({.service = service,
-                                       .parts = combination,
-                                       .crashes = held.crashCount,
-                                       .age = now - held.heldAt,
-                                       .untilTrial = std::max<duration>(held.nextTrial - now, {})});
+                result.held.push_back(describe(service, combination, held, now));
             }
         }
     }
@@ -422,8 +419,8 @@
     // Clearances come first, so that the crashes of the same digest do not hold what its sender has cleared since.
     for (const auto &told : digest.clearances) {
         auto &state = m_services[told.service];
-        rememberAnswer(state.answered, told.part, now - told.age);
-        clear(told.service, state, told.part, now - told.age, "peer_answered", now);
+        rememberAnswer(state, told.trait, now - told.age);
+        clear(told.service, state, told.trait, now - told.age, "peer_answered", now);
     }
     for (const auto &held : digest.held) {
         adopt(held, now);
@@ -452,40 +449,34 @@
 {
     auto &state = m_services[told.service];
     const auto heldAt = now - told.age;
-    trait_set parts = told.parts;
-    for (const auto part : told.parts) {
-        const auto answeredAt = lastAnswered(state.answered, part);
+    trait_set traits = told.traits;
+    for (const auto trait : told.traits) {
+        const auto answeredAt = lastAnswered(state, trait);
         if (answeredAt > heldAt) {
-            parts.erase(part);
-            tellClearance(state, part, answeredAt);
+            traits.erase(trait);
+            tellClearance(state, trait, answeredAt);
         }
     }
-    if (parts.empty()) {
+    if (traits.empty()) {
         return;
     }
-    if (const auto known = state.held.find(parts); known != state.held.end()) {
+    if (const auto known = state.held.find(traits); known != state.held.end()) {
         known->second.crashCount = std::max(known->second.crashCount, told.crashes);
         known->second.nextTrial = std::max(known->second.nextTrial, now + told.untilTrial);
         return;
     }
-    const bool isToldApart = std::any_of(state.held.begin(), state.held.end(), [&parts](const auto &held) { return isSubset(held.first, parts); });
+    const bool isToldApart = std::any_of(state.held.begin(), state.held.end(), [&traits](const auto &held) { return isSubset(held.first, traits); });
     if (!isToldApart) {
         const bool hadNews = m_hasNews;
-        hold(told.service, state, parts, {.crashCount = told.crashes, .heldAt = heldAt, .nextTrial = now + told.untilTrial}, "peer", now);
+        hold(told.service, state, traits, {.crashCount = told.crashes, .heldAt = heldAt, .nextTrial = now + told.untilTrial}, "peer", now);
         m_hasNews = hadNews;
     }
 }
 
 void request_quarantine::noteChange(
-    const std::string &service, const trait_set &parts, const held_state &held, bool isHeld, std::string_view reason, time_point now)
+    const std::string &service, const trait_set &traits, const held_state &held, bool isHeld, std::string_view reason, time_point now)
 {
-    m_changes.push_back({.held = {.service = service,
-                                  .parts = parts,
-                                  .crashes = held.crashCount,
-                                  .age = now - held.heldAt,
-                                  .untilTrial = std::max<duration>(held.nextTrial - now, {})},
-                         .isHeld = isHeld,
-                         .reason = std::string(reason)});
+    m_changes.push_back({.held = describe(service, traits, held, now), .isHeld = isHeld, .reason = std::string(reason)});
 }
 
 std::vector<held_change> request_quarantine::takeChanges()
@@ -493,6 +484,23 @@
     return std::exchange(m_changes, {});
 }
 
+held_traits request_quarantine::describe(const std::string &service, const trait_set &traits, const held_state &held, time_point now)
+{
+    return {
+        .service = service, .traits = traits, .crashes = held.crashCount, .age = now - held.heldAt, .untilTrial = std::max<duration>(held.nextTrial - now, {})};
+}
+
+std::vector<held_traits> request_quarantine::held(time_point now) const
+{
+    std::vector<held_traits> all;
+    for (const auto &[service, state] : m_services) {
+        for (const auto &[combination, held] : state.held) {
+            all.push_back(describe(service, combination, held, now));
+        }
+    }
+    return all;
+}
+
 std::size_t request_quarantine::heldCombinations() const
 {
     std::size_t count = 0;
@@ -502,4 +510,13 @@
     return count;
 }
 
+std::size_t request_quarantine::heldCombinations(trait_kind kind) const
+{
+    std::size_t count = 0;
+    for (const auto &[service, state] : m_services) {
+        count += static_cast<std::size_t>(std::count_if(state.held.begin(), state.held.end(), [kind](const auto &held) { return kindOf(held.first) == kind; }));
+    }
+    return count;
+}
+
 } // namespace wisteriashunt
--- a/src/dispatch/request_quarantine.h
+++ b/src/dispatch/request_quarantine.h
@@ -1,14 +1,21 @@
-/// Learns which parts of prompts crash endpoints, and holds requests with them.
+/// Learns which traits of requests crash endpoints, and holds requests with them.
 ///
-/// One of the requests that an endpoint had not begun to answer when it crashed may be the cause. Each crash implicates all shared parts of these
-/// requests; a request that is answered clears its parts. A part that is only popular is answered elsewhere between two crashes, so a part
-/// that is still suspected after several crashes at different times, while other requests of the service are answered, is held. Parts that the
-/// same crashes implicate cannot be told apart: only requests with all of them are held. Entries tell each other of crashes, clearances and held
-/// parts.
+/// One of the requests that an endpoint had not begun to answer when it crashed may be the cause. Each crash implicates all traits of these
+/// requests; a request that is answered clears its traits. Entries tell each other of crashes, clearances and held traits.
+///
+/// Parts of prompts: one that is only popular is answered elsewhere between two crashes, so a part that is still suspected after several crashes at
+/// different times, while other requests of the service are answered, is held. Parts that the same crashes implicate cannot be told apart: only
+/// requests with all of them are held.
+///
+/// Whole requests: one that was never answered is held after three crashes, whatever else is answered. A service of few endpoints, all of which one
+/// request crashes as soon as they are back, answers nothing to compare with. One that was answered before repeats often, and is held only if so many
+/// separate crashes in a row are unlikely by accident. The first trials come soon while the crashes may still be an accident.
 #pragma once
 
+#include "dispatch/request_traits.h"
 #include "wisteriashunt/time.h"
 
+#include <array>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -20,15 +27,12 @@
 namespace wisteriashunt
 {
 
-/// IDs of parts of one prompt that other prompts may share.
-using trait_set = std::set<std::uint64_t>;
-
 /// A request that an endpoint had not begun to answer when it crashed.
 struct suspect_request
 {
     /// Hash of the ID of the caller's attempt.
     std::uint64_t attempt = 0;
-    trait_set parts;
+    trait_set traits;
 
     auto operator<=>(const suspect_request &) const = default;
 };
@@ -45,22 +49,22 @@
     bool operator==(const crash_report &) const = default;
 };
 
-/// A part with which a request was answered although crashes implicated it.
+/// A trait with which a request was answered although crashes implicated it.
 struct clearance
 {
     std::string service;
-    std::uint64_t part = 0;
+    request_trait trait;
     duration age{};
 
     bool operator==(const clearance &) const = default;
 };
 
-/// A held combination of parts. Requests with all of them are refused, except for one trial at a time.
+/// A held combination of traits of one kind. Requests with all of them are refused, except for one trial at a time.
 struct held_traits
 {
     std::string service;
-    trait_set parts;
-    /// Crashes under requests with the parts.
+    trait_set traits;
+    /// Crashes under requests with the traits.
     int crashes = 0;
     /// Time since they were held.
     duration age{};
@@ -69,7 +73,7 @@
     bool operator==(const held_traits &) const = default;
 };
 
-/// Part of a message between entries that concerns prompts that crash endpoints.
+/// Part of a message between entries that concerns requests that crash endpoints.
 struct quarantine_digest
 {
     std::vector<crash_report> crashes;
@@ -104,14 +108,35 @@
     std::uint64_t answersToKnowService = 20;
     /// Separate crashes after which a request with a suspected part is not sent a second time.
     std::size_t crashesToStopRepeats = 2;
+    /// The same for a request that was there itself.
+    std::size_t ownCrashesToStopRepeats = 1;
+    /// Crashes under one request within this time of each other count as one if it was answered before.
+    duration ownCrashSeparation = std::chrono::milliseconds(30);
+    /// What is assumed of the other requests of the service before any is known: so many were sent, and so many of them broke.
+    double priorRequests = 10;
+    double priorBroken = 0.1;
+    /// Time before the first crash under a request for which crashes of other causes count as well.
+    duration accidentWindow = std::chrono::seconds(10);
     /// Time for which crashes are remembered.
     duration memory = std::chrono::minutes(5);
-    /// Time from the hold to the first trial, unless endpoints crash under the parts meanwhile.
+    /// Time from the hold to the first trial, unless endpoints crash under the traits meanwhile.
     duration firstTrialAfter = std::chrono::seconds(2);
-    /// Time from a crash under held parts to the next trial. Grows by trialBackoff with each trial that fails, up to maxTrialPause.
+    /// Time from a crash under held traits to the next trial. Grows by trialBackoff with each trial that fails, up to maxTrialPause.
     duration trialPause = std::chrono::seconds(60);
     int trialBackoff = 4;
-    /// Held parts that nobody has asked for during this time after their trial was due are forgotten.
+    /// Times to the first and the next trial of a request whose crashes may be an accident, until so many trials have failed.
+    duration doubtfulTrialAfter = std::chrono::milliseconds(500);
+    int doubtfulTrials = 2;
+    /// Trials after which there are no more for longestHold. Each may crash an endpoint.
+    int maxTrials = 3;
+    duration longestHold = std::chrono::hours(24);
+    /// Crashes later than this after the hold are taken for those of trials, whichever entry made them.
+    duration underWayTime = std::chrono::milliseconds(500);
+    /// Trials of a whole request are spread over this time by entry, so that the entry whose turn comes first tells the others before theirs.
+    duration trialSpread = std::chrono::seconds(1);
+    /// Differs from entry to entry.
+    std::uint64_t entryKey = 0;
+    /// Held traits that nobody has asked for during this time after their trial was due are forgotten.
     duration maxTrialPause = std::chrono::hours(1);
     /// Time after which a trial without result makes way for the next one.
     duration trialTimeout = std::chrono::seconds(5);
@@ -124,22 +149,23 @@
     std::size_t maxSuspectRequests = 64;
     std::size_t maxHeld = 64;
     std::size_t maxRememberedAnswers = 16384;
+    std::size_t maxRememberedRequests = 4096;
 };
 
 /// What may be done with a request.
 enum class quarantine_verdict {
     free,
-    /// The request is the trial of held parts; see request_quarantine::onTrial().
+    /// The request is the trial of held traits; see request_quarantine::onTrial().
     trial,
     held,
 };
 
-/// A change of the held parts.
+/// A change of the held traits.
 struct held_change
 {
     held_traits held;
     bool isHeld = false;
-    /// "crashes" or "peer" if they are held now; "answered", "peer_answered", "told_apart" or "expired" if they no longer are.
+    /// "crashes" or "peer" if they are held now; "answered", "peer_answered", "operator", "told_apart" or "expired" if they no longer are.
     std::string reason;
 };
 
@@ -149,19 +175,23 @@
 public:
     explicit request_quarantine(const request_quarantine_options &options = {});
 
-    /// Decides about a request with these parts.
-    [[nodiscard]] quarantine_verdict check(const std::string &service, const trait_set &parts, time_point now) const;
-    /// Returns the time until a request with these parts may be tried; zero if they are not held.
-    [[nodiscard]] duration untilTrial(const std::string &service, const trait_set &parts, time_point now) const;
+    /// Decides about a request with these traits.
+    [[nodiscard]] quarantine_verdict check(const std::string &service, const trait_set &traits, time_point now) const;
+    /// Returns the time until a request with these traits may be tried; zero if they are not held.
+    [[nodiscard]] duration untilTrial(const std::string &service, const trait_set &traits, time_point now) const;
+    /// Returns whether the whole request is held, rather than parts of its prompt.
+    [[nodiscard]] bool isWholeRequestHeld(const std::string &service, const trait_set &traits) const;
     /// Records that a request for which check() returned trial is sent.
-    void onTrial(const std::string &service, const trait_set &parts, time_point now);
-    /// Returns whether a request with these parts may be sent again after its endpoint failed before answering.
-    [[nodiscard]] bool mayRepeat(const std::string &service, const trait_set &parts) const;
+    void onTrial(const std::string &service, const trait_set &traits, time_point now);
+    /// Returns whether a request with these traits may be sent again after its endpoint failed before answering.
+    [[nodiscard]] bool mayRepeat(const std::string &service, const trait_set &traits) const;
 
     /// Records a crash that this entry saw.
     void onCrash(const crash_report &crash, time_point now);
-    /// Records that a request with these parts was answered, or has been for so long that it does not crash its endpoint.
-    void onAnswered(const std::string &service, const trait_set &parts, time_point now);
+    /// Records that a request with these traits was answered, or has been for so long that it does not crash its endpoint.
+    void onAnswered(const std::string &service, const trait_set &traits, time_point now);
+    /// Frees the trait in all services, here and at the peers that are told. Returns whether it was held.
+    bool freeByOperator(request_trait trait, time_point now);
 
     /// Returns whether the next digest tells peers of something new.
     [[nodiscard]] bool hasNews() const;
@@ -171,8 +201,11 @@
     /// Returns the changes since the last call.
     [[nodiscard]] std::vector<held_change> takeChanges();
 
-    /// Returns the number of held combinations of parts.
+    /// Returns all held combinations.
+    [[nodiscard]] std::vector<held_traits> held(time_point now) const;
+    /// Returns the number of held combinations, of all kinds or of one.
     [[nodiscard]] std::size_t heldCombinations() const;
+    [[nodiscard]] std::size_t heldCombinations(trait_kind kind) const;
 
 private:
     struct known_crash
@@ -202,9 +235,9 @@
         time_point at;
         int repetitions = 0;
     };
-    /// Attempts that implicate a part, by crash.
+    /// Attempts that implicate a trait, by crash.
     using suspicions = std::map<std::uint64_t, std::set<std::uint64_t>>;
-    /// Remembers when parts were last answered, for at least the last half of maxRememberedAnswers.
+    /// Remembers when traits of one kind were last answered, for at least the last half of a limit.
     struct answer_memory
     {
         std::unordered_map<std::uint64_t, time_point> recent;
@@ -213,36 +246,49 @@
     struct service_state
     {
         std::map<std::uint64_t, known_crash> crashes;
-        std::unordered_map<std::uint64_t, suspicions> suspects;
+        std::map<request_trait, suspicions> suspects;
         std::map<trait_set, held_state> held;
-        answer_memory answered;
+        /// By kind of trait.
+        std::array<answer_memory, 2> answered;
         std::uint64_t answers = 0;
-        std::map<std::uint64_t, pending_clearance> clearances;
+        std::map<request_trait, pending_clearance> clearances;
     };
 
-    [[nodiscard]] std::vector<const held_state *> heldWithin(const std::string &service, const trait_set &parts) const;
-    /// Returns whether the crash came under a request with held parts, of which this part is none.
-    [[nodiscard]] static bool isExplained(const service_state &state, const known_crash &crash, std::uint64_t part);
-    /// Returns the crashes that implicate the part and that held parts do not explain.
-    [[nodiscard]] static std::set<std::uint64_t> unexplainedCrashes(const service_state &state, std::uint64_t part);
-    [[nodiscard]] std::size_t countSeparate(const service_state &state, const std::set<std::uint64_t> &crashes) const;
+    [[nodiscard]] std::vector<std::pair<const trait_set *, const held_state *>> heldWithin(const std::string &service, const trait_set &traits) const;
+    /// Returns when this entry may try the held combination.
+    [[nodiscard]] time_point trialTime(const trait_set &combination, const held_state &held) const;
+    /// Returns whether the crash came under a request with held traits, of which this trait is none.
+    [[nodiscard]] static bool isExplained(const service_state &state, const known_crash &crash, request_trait trait);
+    /// Returns the crashes that implicate the trait and that held traits do not explain.
+    [[nodiscard]] static std::set<std::uint64_t> unexplainedCrashes(const service_state &state, request_trait trait);
+    [[nodiscard]] static std::size_t countSeparate(const service_state &state, const std::set<std::uint64_t> &crashes, duration separation);
+    /// Returns the number of requests of this entry that broke in crashes that neither implicate the trait nor are explained.
+    [[nodiscard]] static std::size_t brokenWithout(const service_state &state, request_trait trait, time_point since);
     /// Returns the number of requests that have to implicate the part, by how many others broke without it and were answered here since then.
-    [[nodiscard]] std::size_t requestsNeeded(const service_state &state, std::uint64_t part, time_point since, std::uint64_t answersSince) const;
-    [[nodiscard]] bool isLikelyCause(const service_state &state, std::uint64_t part, const std::set<std::uint64_t> &crashes) const;
+    [[nodiscard]] std::size_t requestsNeeded(const service_state &state, request_trait part, time_point since, std::uint64_t answersSince) const;
+    /// Returns the number of crashes in a row that a request would hardly be in by accident.
+    [[nodiscard]] std::size_t crashesNeeded(const service_state &state, request_trait request, const std::set<std::uint64_t> &crashes) const;
+    [[nodiscard]] bool isLikelyPart(const service_state &state, request_trait part, const std::set<std::uint64_t> &crashes) const;
+    [[nodiscard]] bool isLikelyRequest(const service_state &state, request_trait request, const std::set<std::uint64_t> &crashes) const;
     known_crash &addCrash(service_state &state, const crash_report &crash, time_point now);
     void noteCrashUnderHeld(service_state &state, std::uint64_t crashKey, time_point now);
-    /// Holds parts until no further one is a likely cause.
+    /// Returns the time from a crash under the held combination to its next trial.
+    [[nodiscard]] duration pauseAfterCrash(const service_state &state, const trait_set &combination, const held_state &held) const;
     void holdLikelyCauses(const std::string &service, service_state &state, const known_crash &crash, time_point now);
-    void hold(const std::string &service, service_state &state, const trait_set &parts, held_state held, std::string_view reason, time_point now);
-    void releaseSupersets(const std::string &service, service_state &state, const trait_set &parts, time_point now);
-    void clear(const std::string &service, service_state &state, std::uint64_t part, time_point at, std::string_view reason, time_point now);
+    /// Holds parts until no further one is a likely cause.
+    void holdLikelyParts(const std::string &service, service_state &state, const trait_set &suspects, time_point now);
+    void holdLikelyRequests(const std::string &service, service_state &state, const trait_set &suspects, time_point now);
+    void hold(const std::string &service, service_state &state, const trait_set &traits, held_state held, std::string_view reason, time_point now);
+    void releaseSupersets(const std::string &service, service_state &state, const trait_set &traits, time_point now);
+    void clear(const std::string &service, service_state &state, request_trait trait, time_point at, std::string_view reason, time_point now);
     void adopt(const held_traits &told, time_point now);
-    void tellClearance(service_state &state, std::uint64_t part, time_point at);
-    void rememberAnswer(answer_memory &memory, std::uint64_t part, time_point now) const;
-    [[nodiscard]] static time_point lastAnswered(const answer_memory &memory, std::uint64_t part);
+    void tellClearance(service_state &state, request_trait trait, time_point at);
+    void rememberAnswer(service_state &state, request_trait trait, time_point now) const;
+    [[nodiscard]] static time_point lastAnswered(const service_state &state, request_trait trait);
     void forgetOutdated(const std::string &service, service_state &state, time_point now);
     void forgetCrash(service_state &state, std::uint64_t crashKey);
-    void noteChange(const std::string &service, const trait_set &parts, const held_state &held, bool isHeld, std::string_view reason, time_point now);
+    [[nodiscard]] static held_traits describe(const std::string &service, const trait_set &traits, const held_state &held, time_point now);
+    void noteChange(const std::string &service, const trait_set &traits, const held_state &held, bool isHeld, std::string_view reason, time_point now);
 
     request_quarantine_options m_options;
     std::map<std::string, service_state> m_services;
--- a/src/evidence/decision.cpp
+++ b/src/evidence/decision.cpp
@@ -76,6 +76,12 @@
         return "prompt_freed";
     case event_number::prompt_tried:
         return "prompt_tried";
+    case event_number::request_held:
+        return "request_held";
+    case event_number::request_freed:
+        return "request_freed";
+    case event_number::request_tried:
+        return "request_tried";
     case event_number::peer_up:
         return "peer_up";
     case event_number::peer_down:
--- a/src/gateway/endpoint_crash_watch.cpp
+++ b/src/gateway/endpoint_crash_watch.cpp
@@ -5,20 +5,20 @@
 namespace wisteriashunt
 {
 
-std::string hexadecimalList(const trait_set &parts)
+std::string hexadecimalList(const std::set<std::uint64_t> &ids)
 {
     constexpr std::size_t maxListed = 16;
     std::ostringstream text;
     text << std::hex;
     std::size_t listed = 0;
-    for (const auto part : parts) {
+    for (const auto id : ids) {
         if (listed++ == maxListed) {
             text << ",...";
             break;
         }
-        text << (listed > 1 ? "," : "") << part;
+        text << (listed > 1 ? "," : "") << id;
     }
-    return parts.empty() ? "-" : text.str();
+    return ids.empty() ? "-" : text.str();
 }
 
 endpoint_crash_watch::endpoint_crash_watch(event_loop &loop, event_log &log, endpoint_pool &pool, const crash_watch_options &options, crash_hook onCrash)
@@ -66,18 +66,16 @@
         return;
     }
     suspected.connection->close();
-    trait_set parts;
-    std::set<std::uint64_t> fingerprints;
+    trait_set traits;
     for (const auto &attempt : suspected.crash.attempts) {
-        parts.insert(attempt.parts.begin(), attempt.parts.end());
-        fingerprints.insert(attempt.fingerprint);
+        traits.insert(attempt.traits.begin(), attempt.traits.end());
     }
     m_log.write(event_number::endpoint_crashed,
                 {{"endpoint", suspected.crash.endpoint->record.id},
                  {"service", suspected.crash.endpoint->record.service},
                  {"unbegun", std::to_string(suspected.crash.attempts.size())},
-                 {"parts", hexadecimalList(parts)},
-                 {"fingerprints", hexadecimalList(fingerprints)},
+                 {"parts", hexadecimalList(idsOf(trait_kind::prompt_part, traits))},
+                 {"fingerprints", hexadecimalList(idsOf(trait_kind::whole_request, traits))},
                  {"noticed_after_ms", milliseconds(elapsed)}});
     m_onCrash(suspected.crash);
 }
--- a/src/gateway/endpoint_crash_watch.h
+++ b/src/gateway/endpoint_crash_watch.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,10 +21,7 @@
 struct unbegun_attempt
 {
     std::string attemptId;
-    /// See fingerprintOf().
-    std::uint64_t fingerprint = 0;
-    /// IDs of the parts of its prompt that other requests may share.
-    trait_set parts;
+    trait_set traits;
 
     bool operator==(const unbegun_attempt &) const = default;
 };
@@ -37,8 +35,8 @@
     std::vector<unbegun_attempt> attempts;
 };
 
-/// Lists the parts in hexadecimal, as callers write them, separated by commas; the first ones if there are many. Returns "-" if there are none.
-[[nodiscard]] std::string hexadecimalList(const trait_set &parts);
+/// Lists the numbers in hexadecimal, separated by commas; the first ones if there are many. Returns "-" if there are none.
+[[nodiscard]] std::string hexadecimalList(const std::set<std::uint64_t> &ids);
 
 /// Settings of an endpoint_crash_watch.
 struct crash_watch_options
--- a/src/gateway/entry_message.cpp
+++ b/src/gateway/entry_message.cpp
@@ -29,18 +29,21 @@
 using packed_streams = std::tuple<std::string, std::string, std::vector<std::tuple<std::uint64_t, std::int64_t>>>;
 /// Service, software version, and the milliseconds since it was last listed.
 using packed_version = std::tuple<std::string, std::string, std::int64_t>;
-/// Attempt and parts of a request that a crash implicates.
-using packed_suspect = std::tuple<std::uint64_t, std::vector<std::uint64_t>>;
+/// Attempt, parts of the prompt and fingerprint of a request that a crash implicates.
+using packed_suspect = std::tuple<std::uint64_t, std::vector<std::uint64_t>, std::uint64_t>;
 /// Service, endpoint, age in milliseconds and the suspected requests.
 using packed_crash = std::tuple<std::string, std::uint64_t, std::int64_t, std::vector<packed_suspect>>;
-/// Service, part and age in milliseconds.
+/// Service, part or fingerprint, and age in milliseconds.
 using packed_clearance = std::tuple<std::string, std::uint64_t, std::int64_t>;
 /// Service, parts, crashes, age and time until a trial in milliseconds.
 using packed_held = std::tuple<std::string, std::vector<std::uint64_t>, int, std::int64_t, std::int64_t>;
+/// The same for a whole request, with its fingerprint.
+using packed_held_request = std::tuple<std::string, std::uint64_t, int, std::int64_t, std::int64_t>;
 /// ID and start of an endpoint.
 using packed_incarnation = std::tuple<std::string, std::int64_t>;
 /// The last members are the epoch of the log, the limits of endpoints, the demand by service, begun streams, software versions, crashes,
-/// clearances and held parts of prompts, endpoints that leave, and the sender's zone, link and whether it is a relay. Entries of earlier versions skip them.
+/// clearances and held parts of prompts, endpoints that leave, the sender's zone, link and whether it is a relay, and clearances and holds of whole
+/// requests. Entries of earlier versions skip them.
 using packed_place = std::tuple<std::string, double, bool>;
 using packed_message = std::tuple<int,
                                   std::int64_t,
@@ -58,7 +61,9 @@
                                   std::vector<packed_clearance>,
                                   std::vector<packed_held>,
                                   std::vector<packed_incarnation>,
-                                  packed_place>;
+                                  packed_place,
+                                  std::vector<packed_clearance>,
+                                  std::vector<packed_held_request>>;
 
 using packed_zone_loads = std::tuple<int, std::vector<std::string>, bool, std::vector<packed_load>, std::vector<packed_rate>, std::vector<packed_placement>>;
 using packed_news = std::tuple<int,
@@ -66,7 +71,9 @@
                                std::vector<packed_crash>,
                                std::vector<packed_clearance>,
                                std::vector<packed_held>,
-                               std::vector<packed_incarnation>>;
+                               std::vector<packed_incarnation>,
+                               std::vector<packed_clearance>,
+                               std::vector<packed_held_request>>;
 
 /// Returns the tokens of each rank without trailing zeros.
 std::vector<std::int64_t> packRanks(const ranked_tokens &tokens)
@@ -176,55 +183,86 @@
     for (const auto &crash : crashes) {
         std::vector<packed_suspect> suspects;
         for (const auto &request : crash.suspects) {
-            suspects.emplace_back(request.attempt, std::vector<std::uint64_t>(request.parts.begin(), request.parts.end()));
+            const auto parts = idsOf(trait_kind::prompt_part, request.traits);
+            const auto fingerprints = idsOf(trait_kind::whole_request, request.traits);
+            suspects.emplace_back(request.attempt, std::vector<std::uint64_t>(parts.begin(), parts.end()), fingerprints.empty() ? 0 : *fingerprints.begin());
         }
         packed.emplace_back(crash.service, crash.endpoint, packMilliseconds(crash.age), suspects);
     }
     return packed;
 }
 
-std::vector<packed_clearance> packClearances(const std::vector<clearance> &clearances)
+std::vector<packed_clearance> packClearances(const std::vector<clearance> &clearances, trait_kind kind)
 {
     std::vector<packed_clearance> packed;
-    for (const auto &[service, part, age] : clearances) {
-        packed.emplace_back(service, part, packMilliseconds(age));
+    for (const auto &[service, trait, age] : clearances) {
+        if (trait.kind == kind) {
+            packed.emplace_back(service, trait.id, packMilliseconds(age));
+        }
     }
     return packed;
 }
 
-std::vector<packed_held> packHeld(const std::vector<held_traits> &held)
+std::vector<packed_held> packHeldParts(const std::vector<held_traits> &held)
 {
     std::vector<packed_held> packed;
     for (const auto &each : held) {
-        packed.emplace_back(each.service,
-                            std::vector<std::uint64_t>(each.parts.begin(), each.parts.end()),
-                            each.crashes,
-                            packMilliseconds(each.age),
-                            packMilliseconds(each.untilTrial));
+        if (const auto parts = idsOf(trait_kind::prompt_part, each.traits); !parts.empty()) {
+            packed.emplace_back(each.service,
+                                std::vector<std::uint64_t>(parts.begin(), parts.end()),
+                                each.crashes,
+                                packMilliseconds(each.age),
+                                packMilliseconds(each.untilTrial));
+        }
     }
     return packed;
 }
 
+std::vector<packed_held_request> packHeldRequests(const std::vector<held_traits> &held)
+{
+    std::vector<packed_held_request> packed;
+    for (const auto &each : held) {
+        for (const auto fingerprint : idsOf(trait_kind::whole_request, each.traits)) {
+            packed.emplace_back(each.service, fingerprint, each.crashes, packMilliseconds(each.age), packMilliseconds(each.untilTrial));
+        }
+    }
+    return packed;
+}
+
+void unpackClearances(const std::vector<packed_clearance> &clearances, trait_kind kind, quarantine_digest &digest)
+{
+    for (const auto &[service, id, age] : clearances) {
+        digest.clearances.push_back({.service = service, .trait = {kind, id}, .age = unpackMilliseconds(age)});
+    }
+}
+
 quarantine_digest
-unpackQuarantine(const std::vector<packed_crash> &crashes, const std::vector<packed_clearance> &clearances, const std::vector<packed_held> &held)
+unpackQuarantine(const std::vector<packed_crash> &crashes, const std::vector<packed_held> &heldParts, const std::vector<packed_held_request> &heldRequests)
 {
     quarantine_digest digest;
     for (const auto &[service, endpoint, age, suspects] : crashes) {
         crash_report crash{.service = service, .endpoint = endpoint, .age = unpackMilliseconds(age)};
-        for (const auto &[attempt, parts] : suspects) {
-            crash.suspects.push_back({.attempt = attempt, .parts = {parts.begin(), parts.end()}});
+        for (const auto &[attempt, parts, fingerprint] : suspects) {
+            suspect_request request{.attempt = attempt, .traits = {parts.begin(), parts.end()}};
+            if (fingerprint != 0) {
+                request.traits.insert({trait_kind::whole_request, fingerprint});
+            }
+            crash.suspects.push_back(std::move(request));
         }
         digest.crashes.push_back(std::move(crash));
     }
-    for (const auto &[service, part, age] : clearances) {
-        digest.clearances.push_back({.service = service, .part = part, .age = unpackMilliseconds(age)});
-    }
-    for (const auto &[service, parts, crashCount, age, untilTrial] : held) {
+    const auto add = [&digest](const std::string &service, trait_set traits, int crashCount, std::int64_t age, std::int64_t untilTrial) {
         digest.held.push_back({.service = service,
-                               .parts = {parts.begin(), parts.end()},
+                               .traits = std::move(traits),
                                .crashes = notNegative(crashCount),
                                .age = unpackMilliseconds(age),
                                .untilTrial = unpackMilliseconds(untilTrial)});
+    };
+    for (const auto &[service, parts, crashCount, age, untilTrial] : heldParts) {
+        add(service, {parts.begin(), parts.end()}, crashCount, age, untilTrial);
+    }
+    for (const auto &[service, fingerprint, crashCount, age, untilTrial] : heldRequests) {
+        add(service, {{trait_kind::whole_request, fingerprint}}, crashCount, age, untilTrial);
     }
     return digest;
 }
@@ -331,7 +369,9 @@
                 clearances,
                 held,
                 leaving,
-                place] = packed.as<packed_message>();
+                place,
+                requestClearances,
+                heldRequests] = packed.as<packed_message>();
     if (format != formatVersion) {
         throw shunt_error(error_kind::malformed_frame, "peer message: expected format " + std::to_string(formatVersion) + ", found " + std::to_string(format));
     }
@@ -342,7 +382,9 @@
         message.load.rateLimits.demand[service] = notNegative(rate);
     }
     message.streams = {.begun = unpackStreams(streams), .versions = unpackVersions(versions)};
-    message.quarantine = unpackQuarantine(crashes, clearances, held);
+    message.quarantine = unpackQuarantine(crashes, held, heldRequests);
+    unpackClearances(clearances, trait_kind::prompt_part, message.quarantine);
+    unpackClearances(requestClearances, trait_kind::whole_request, message.quarantine);
     for (const auto &[ip, port] : peers) {
         message.peers.push_back({.ip = ip, .port = port});
     }
@@ -354,8 +396,11 @@
 
 entry_news unpackNews(const msgpack::object &packed)
 {
-    const auto [format, streams, crashes, clearances, held, leaving] = packed.as<packed_news>();
-    return {.begunStreams = unpackStreams(streams), .quarantine = unpackQuarantine(crashes, clearances, held), .leaving = unpackIncarnations(leaving)};
+    const auto [format, streams, crashes, clearances, held, leaving, requestClearances, heldRequests] = packed.as<packed_news>();
+    auto quarantine = unpackQuarantine(crashes, held, heldRequests);
+    unpackClearances(clearances, trait_kind::prompt_part, quarantine);
+    unpackClearances(requestClearances, trait_kind::whole_request, quarantine);
+    return {.begunStreams = unpackStreams(streams), .quarantine = std::move(quarantine), .leaving = unpackIncarnations(leaving)};
 }
 
 /// Returns the version of the format, which is the first member of the array.
@@ -409,10 +454,12 @@
                                  packStreams(message.streams.begun),
                                  packVersions(message.streams.versions),
                                  packCrashes(message.quarantine.crashes),
-                                 packClearances(message.quarantine.clearances),
-                                 packHeld(message.quarantine.held),
+                                 packClearances(message.quarantine.clearances, trait_kind::prompt_part),
+                                 packHeldParts(message.quarantine.held),
                                  packIncarnations(message.leaving),
-                                 {message.place.availabilityZone, message.place.linkBytesPerSecond, message.place.isRelay}});
+                                 {message.place.availabilityZone, message.place.linkBytesPerSecond, message.place.isRelay},
+                                 packClearances(message.quarantine.clearances, trait_kind::whole_request),
+                                 packHeldRequests(message.quarantine.held)});
     return {buffer.data(), buffer.size()};
 }
 
@@ -423,9 +470,11 @@
                   packed_news{newsFormatVersion,
                               packStreams(news.begunStreams),
                               packCrashes(news.quarantine.crashes),
-                              packClearances(news.quarantine.clearances),
-                              packHeld(news.quarantine.held),
-                              packIncarnations(news.leaving)});
+                              packClearances(news.quarantine.clearances, trait_kind::prompt_part),
+                              packHeldParts(news.quarantine.held),
+                              packIncarnations(news.leaving),
+                              packClearances(news.quarantine.clearances, trait_kind::whole_request),
+                              packHeldRequests(news.quarantine.held)});
     return {buffer.data(), buffer.size()};
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "dispatch/turns.h"
+#include "gateway/quarantine_operations.h"
 #include "membership/hash.h"
 #include "wisteriashunt/errors.h"
 
@@ -100,6 +101,7 @@
                 {.leavingGrace = fromSeconds(leavingGraceShare * toSeconds(m_options.settings.maxDrainDelay)),
                  .rateLimits = {.entryKey = hashText(m_options.settings.instance)}})
     , m_streams(m_roster)
+    , m_quarantine({.entryKey = hashText(m_options.settings.instance)})
     , m_pool(m_loop, {.channel = endpointChannel})
     , m_crashes(m_loop, m_log, m_pool, {.channel = endpointChannel}, [this](const endpoint_crash &crash) { onEndpointCrash(crash); })
     , m_context{.loop = m_loop,
@@ -240,28 +242,15 @@
                         .endpoint = mixBits(hashText(record.id) ^ static_cast<std::uint64_t>(record.startedAtMilliseconds)),
                         .age = m_loop.now() - crash.at};
     for (const auto &attempt : crash.attempts) {
-        report.suspects.push_back({.attempt = hashText(attempt.attemptId), .parts = attempt.parts});
+        report.suspects.push_back({.attempt = hashText(attempt.attemptId), .traits = attempt.traits});
     }
     m_quarantine.onCrash(report, m_loop.now());
     announceQuarantineChange();
 }
 
-void gateway::logQuarantineChanges()
-{
-    for (const auto &[held, isHeld, reason] : m_quarantine.takeChanges()) {
-        m_log.write(isHeld ? event_number::prompt_held : event_number::prompt_freed,
-                    {{"service", held.service},
-                     {"parts", hexadecimalList(held.parts)},
-                     {"reason", reason},
-                     {"crashes", std::to_string(held.crashes)},
-                     {"held_for_ms", milliseconds(held.age)},
-                     {"trial_in_ms", milliseconds(held.untilTrial)}});
-    }
-}
-
 void gateway::announceQuarantineChange()
 {
-    logQuarantineChanges();
+    logQuarantineChanges(m_log, m_quarantine);
     if (m_quarantine.hasNews()) {
         announceNews();
     }
@@ -293,7 +282,7 @@
     onPeerLeavingNotices(from, news.leaving);
     m_streams.onPeerDigest({.begun = news.begunStreams}, m_loop.now());
     m_quarantine.onPeerDigest(news.quarantine, m_loop.now());
-    logQuarantineChanges();
+    logQuarantineChanges(m_log, m_quarantine);
     m_context.onCapacityFreed();
 }
 
@@ -305,7 +294,7 @@
     onPeerLeavingNotices(from, message.leaving);
     m_streams.onPeerDigest(message.streams, m_loop.now());
     m_quarantine.onPeerDigest(message.quarantine, m_loop.now());
-    logQuarantineChanges();
+    logQuarantineChanges(m_log, m_quarantine);
     m_context.onCapacityFreed();
     m_hasPeerMessage = true;
     m_newestPeerVersion = std::max(m_newestPeerVersion, message.declarationsVersion);
@@ -337,7 +326,8 @@
     m_counters.addGauge("endpoints_paused", [this] { return static_cast<double>(m_roster.pausedEndpoints(m_loop.now())); });
     m_counters.addGauge("endpoints_with_rate_limit", [this] { return static_cast<double>(m_planner.rateLimits().limitedEndpoints()); });
     m_counters.addGauge("known_streams", [this] { return static_cast<double>(m_streams.knownStreams()); });
-    m_counters.addGauge("held_prompts", [this] { return static_cast<double>(m_quarantine.heldCombinations()); });
+    m_counters.addGauge("held_prompts", [this] { return static_cast<double>(m_quarantine.heldCombinations(trait_kind::prompt_part)); });
+    m_counters.addGauge("held_requests", [this] { return static_cast<double>(m_quarantine.heldCombinations(trait_kind::whole_request)); });
     m_counters.addGauge("sharing_entries", [this] { return static_cast<double>(m_planner.sharingEntries(m_loop.now())); });
     m_counters.addGauge("live_entries", [this] { return static_cast<double>(m_planner.liveEntries(m_loop.now())); });
     m_counters.addGauge("declarations_version", [this] { return static_cast<double>(declarationsVersion()); });
@@ -438,6 +428,13 @@
         caller->answer(std::move(head), m_counters.render());
         return;
     }
+    if (const auto answer = answerQuarantineOperation(request, m_quarantine, m_loop.now())) {
+        announceQuarantineChange();
+        std::string head;
+        appendResponseHead(head, answer->status, reasonPhrase(answer->status), {{"Content-Type", "text/plain"}});
+        caller->answer(std::move(head), answer->text);
+        return;
+    }
     answerWithoutBody(*caller, request.target != m_options.dialect.readinessPath ? notFound : isReady() ? ok : unavailable);
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -82,7 +82,6 @@
     /// Logs what has changed in the quarantine and announces it.
     void announceQuarantineChange();
     void onEndpointCrash(const endpoint_crash &crash);
-    void logQuarantineChanges();
     void onPeerMessage(const socket_address &from, const entry_message &message);
     void onPeerNews(const socket_address &from, const entry_news &news);
     void onPeerLeavingNotices(const socket_address &from, const std::vector<endpoint_incarnation> &leaving);
--- a/src/gateway/request_answers.cpp
+++ b/src/gateway/request_answers.cpp
@@ -1,6 +1,8 @@
 // Answers of a request session to its caller: forwarded, refused or cut off.
 #include "gateway/request_session.h"
 
+#include "dispatch/request_fingerprint.h"
+
 #include <algorithm>
 #include <array>
 
@@ -130,7 +132,8 @@
                          {"workspace", m_workspace.empty() ? "-" : m_workspace},
                          {"rank", std::to_string(m_rank)},
                          {"reason", reason},
-                         {"parts", reason == answerFor(error_kind::prompt_quarantined).name ? hexadecimalList(m_sharedParts) : "-"},
+                         {"parts", reason == answerFor(error_kind::prompt_quarantined).name ? hexadecimalList(idsOf(trait_kind::prompt_part, m_traits)) : "-"},
+                         {"fingerprint", toHexadecimal(m_fingerprint)},
                          {"framing", std::string(event == event_number::request_answered ? toString(m_head.framing) : "-")},
                          {"last_event", m_events.hasPartial() ? "unfinished" : "whole"},
                          {"endpoint", m_placementRequest.excluded.empty() ? "-" : m_placementRequest.excluded.back()},
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -114,8 +114,8 @@
         m_firstByteAt = m_context.loop.now();
         m_context.planner.onFirstByte(*m_placed, m_context.loop.now() - m_sentAt, m_context.loop.now());
     }
-    if (m_hasFirstByte && m_context.loop.now() - m_firstByteAt >= minAnswered) {
-        clearParts();
+    if (isStreamSuccess() && m_context.loop.now() - m_firstByteAt >= minAnswered) {
+        clearTraits();
     }
     if (!isStreamSuccess()) {
         m_context.bodyBytes += bytes.size();
@@ -169,8 +169,8 @@
     const bool didNotRun = m_response.didNotRun;
     const bool isServerError = m_head.status >= firstServerError;
     m_mayHaveRun = m_mayHaveRun || !didNotRun;
-    if (m_hasFirstByte) {
-        clearParts();
+    if (!didNotRun && (m_hasFirstByte || !isStreamSuccess())) {
+        clearTraits();
     }
     releaseEndpoint(didNotRun ? endpoint_outcome::did_not_run : isServerError ? endpoint_outcome::failed : endpoint_outcome::answered);
     if (m_caller == nullptr) {
@@ -247,22 +247,29 @@
     m_placed.reset();
 }
 
-void request_session::clearParts()
+void request_session::clearTraits()
 {
-    if (m_hasCleared || !m_placementRequest.hasPrompt || !isSuccess(m_head.status)) {
+    if (m_hasCleared || m_head.status >= firstServerError) {
         return;
     }
     m_hasCleared = true;
-    m_context.quarantine.onAnswered(m_service, m_sharedParts, m_context.loop.now());
+    // An endpoint may reject a request without reading its prompt.
+    const trait_set itself{{trait_kind::whole_request, m_fingerprint}};
+    m_context.quarantine.onAnswered(m_service, isSuccess(m_head.status) ? m_traits : itself, m_context.loop.now());
     m_context.onQuarantineChange();
 }
 
 void request_session::reportUnbegun()
 {
-    if (m_placed && (!m_hasFirstByte || m_context.loop.now() - m_firstByteAt < minAnswered)) {
-        m_context.crashes.onBroken(
-            m_placed->endpoint,
-            {.attemptId = m_metadata.attemptId, .fingerprint = m_fingerprint, .parts = m_placementRequest.hasPrompt ? m_sharedParts : trait_set{}});
+    if (!m_placed) {
+        return;
+    }
+    const bool isUnbegun = !m_hasFirstByte || m_context.loop.now() - m_firstByteAt < minAnswered;
+    if (isUnbegun) {
+        m_context.crashes.onBroken(m_placed->endpoint, {.attemptId = m_metadata.attemptId, .traits = m_traits});
+    } else if (!isStreamSuccess()) {
+        // The endpoint may have crashed while it worked on an answer of which it had sent a part.
+        m_context.crashes.onBroken(m_placed->endpoint, {.attemptId = m_metadata.attemptId, .traits = {{trait_kind::whole_request, m_fingerprint}}});
     }
 }
 
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -30,21 +30,23 @@
     switch (refusal) {
     case placement_refusal::overloaded:
         return error_kind::overloaded;
-    case placement_refusal::quarantined:
+    case placement_refusal::prompt_quarantined:
         return error_kind::prompt_quarantined;
+    case placement_refusal::request_quarantined:
+        return error_kind::request_quarantined;
     default:
         return error_kind::no_endpoint;
     }
 }
 
-/// Returns the IDs of all parts but the last, which belongs to the request itself or to its session.
+/// Returns all parts but the last, which belongs to the request itself or to its session.
 trait_set sharedParts(const std::vector<prompt_part> &prompt)
 {
-    trait_set ids;
+    trait_set parts;
     for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
-        ids.insert(prompt[i].id);
+        parts.insert(prompt[i].id);
     }
-    return ids;
+    return parts;
 }
 
 } // namespace
@@ -157,7 +159,8 @@
                           .softwareVersion = m_origin ? std::optional(m_origin->softwareVersion) : std::nullopt};
     m_resumeAfter = m_metadata.lastEvent;
     m_fingerprint = fingerprintOf({.method = m_request.method, .target = m_request.target, .workspace = m_workspace, .body = m_request.body});
-    m_sharedParts = sharedParts(m_metadata.prompt);
+    m_traits = m_placementRequest.hasPrompt ? sharedParts(m_metadata.prompt) : trait_set{};
+    m_traits.insert({trait_kind::whole_request, m_fingerprint});
     m_context.allowanceOf(m_service).onRequest(m_arrival);
     m_context.planner.rateLimits().onArrival(m_service, m_rank, m_arrival);
     dispatch();
@@ -178,12 +181,14 @@
 std::optional<placement_decision> request_session::heldDecision() const
 {
     const auto now = m_context.loop.now();
-    if (!m_placementRequest.hasPrompt || m_context.quarantine.check(m_service, m_sharedParts, now) != quarantine_verdict::held) {
+    const auto &quarantine = m_context.quarantine;
+    if (quarantine.check(m_service, m_traits, now) != quarantine_verdict::held) {
         return std::nullopt;
     }
     constexpr std::chrono::seconds minRetryAfter{1};
-    return placement_decision{.refusal = placement_refusal::quarantined,
-                              .retryAfter = std::max<duration>(minRetryAfter, m_context.quarantine.untilTrial(m_service, m_sharedParts, now))};
+    return placement_decision{.refusal = quarantine.isWholeRequestHeld(m_service, m_traits) ? placement_refusal::request_quarantined
+                                                                                            : placement_refusal::prompt_quarantined,
+                              .retryAfter = std::max<duration>(minRetryAfter, quarantine.untilTrial(m_service, m_traits, now))};
 }
 
 placement_decision request_session::place()
@@ -288,13 +293,17 @@
     }
 }
 
-void request_session::tryHeldParts()
+void request_session::tryHeldTraits()
 {
-    if (!m_placementRequest.hasPrompt || m_context.quarantine.check(m_service, m_sharedParts, m_sentAt) != quarantine_verdict::trial) {
+    if (m_context.quarantine.check(m_service, m_traits, m_sentAt) != quarantine_verdict::trial) {
         return;
     }
-    m_context.quarantine.onTrial(m_service, m_sharedParts, m_sentAt);
-    m_context.log.write(event_number::prompt_tried, {{"request", m_metadata.attemptId}, {"parts", hexadecimalList(m_sharedParts)}});
+    m_context.quarantine.onTrial(m_service, m_traits, m_sentAt);
+    const bool isWholeRequest = m_context.quarantine.isWholeRequestHeld(m_service, m_traits);
+    m_context.log.write(isWholeRequest ? event_number::request_tried : event_number::prompt_tried,
+                        {{"request", m_metadata.attemptId},
+                         {"fingerprint", toHexadecimal(m_fingerprint)},
+                         {"parts", hexadecimalList(idsOf(trait_kind::prompt_part, m_traits))}});
     m_context.onQuarantineChange();
 }
 
@@ -329,7 +338,7 @@
     m_body.clear();
     ++m_sentAttempts;
     m_placementRequest.excluded.push_back(placed.endpoint->record.id);
-    tryHeldParts();
+    tryHeldTraits();
     m_context.planner.onSent(m_placementRequest, placed, m_sentAt);
     const auto load = m_context.planner.loadOf(placed.endpoint->record.id, m_sentAt);
     m_context.log.write(event_number::attempt_started,
@@ -368,7 +377,7 @@
             .failedConnects = m_failedConnects,
             .hasForwarded = m_hasForwarded,
             .mayHaveRun = m_mayHaveRun,
-            .mayCrashEndpoints = !m_hasForwarded && m_placementRequest.hasPrompt && !m_context.quarantine.mayRepeat(m_service, m_sharedParts),
+            .mayCrashEndpoints = !m_hasForwarded && !m_context.quarantine.mayRepeat(m_service, m_traits),
             .hasTime = timeLeft() > minAttemptTime};
 }
 
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -49,8 +49,8 @@
     /// Returns the pauses that endpoints have asked for, or the given delay if an endpoint takes requests.
     [[nodiscard]] duration retryAfterPausesOr(duration otherwise) const;
     void send(const placement &placed);
-    /// Tells the quarantine and the peers if the attempt that is about to be sent is the trial of held parts.
-    void tryHeldParts();
+    /// Tells the quarantine and the peers if the attempt that is about to be sent is the trial of held traits.
+    void tryHeldTraits();
     [[nodiscard]] std::string buildRequest(const listed_endpoint &endpoint) const;
 
     [[nodiscard]] bool onHead(http_response_head &head);
@@ -77,9 +77,9 @@
     void releaseEndpoint(endpoint_outcome outcome);
     /// Abandons the running attempt, if there is one, and closes its connection.
     void dropAttempt();
-    /// Reports that the parts of the prompt do not crash the endpoint, once for each attempt.
-    void clearParts();
-    /// Returns the refusal if the request's prompt is held.
+    /// Reports that the request does not crash the endpoint, once for each attempt.
+    void clearTraits();
+    /// Returns the refusal if the request or its prompt is held.
     [[nodiscard]] std::optional<placement_decision> heldDecision() const;
     /// Reports the attempt to the watch for crashes if its endpoint had not begun to answer it, or only just.
     void reportUnbegun();
@@ -113,9 +113,9 @@
     placement_request m_placementRequest;
     /// See fingerprintOf().
     std::uint64_t m_fingerprint = 0;
-    /// IDs of the parts of the prompt that other requests may share.
-    trait_set m_sharedParts;
-    /// Whether an answer to the current attempt has shown that the parts crash no endpoint.
+    /// By which the quarantine knows the request: itself, and the parts of its prompt that others may share.
+    trait_set m_traits;
+    /// Whether an answer to the current attempt has shown that the traits crash no endpoint.
     bool m_hasCleared = false;
     std::optional<admission_queue::ticket> m_ticket;
     timer_id m_queueTimer = 0;
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -374,9 +374,9 @@
                                 .demand = {{"s", 4.5}}}},
         .streams = {.begun = {{.stream = 8, .origin = {"s", "v1"}, .timeLeft = std::chrono::milliseconds(1500)}},
                     .versions = {{.version = {"s", "v2"}, .age = std::chrono::milliseconds(20)}}},
-        .quarantine = {.crashes = {{.service = "s", .endpoint = 9, .age = std::chrono::milliseconds(30), .suspects = {{.attempt = 4, .parts = {5, 6}}}}},
-                       .clearances = {{.service = "s", .part = 6, .age = std::chrono::milliseconds(10)}},
-                       .held = {{.service = "s", .parts = {5}, .crashes = 3, .age = std::chrono::seconds(1), .untilTrial = std::chrono::seconds(2)}}},
+        .quarantine = {.crashes = {{.service = "s", .endpoint = 9, .age = std::chrono::milliseconds(30), .suspects = {{.attempt = 4, .traits = {5, 6}}}}},
+                       .clearances = {{.service = "s", .trait = 6, .age = std::chrono::milliseconds(10)}},
+                       .held = {{.service = "s", .traits = {5}, .crashes = 3, .age = std::chrono::seconds(1), .untilTrial = std::chrono::seconds(2)}}},
         .peers = {{.ip = 5, .port = 6}}};
     EXPECT_EQ(decodeEntryMessage(encodeEntryMessage(message)), message);
 }
@@ -385,7 +385,7 @@
 {
     const entry_news news{
         .begunStreams = {{.stream = 8, .origin = {"s", "v1"}, .timeLeft = std::chrono::milliseconds(1500)}},
-        .quarantine = {.clearances = {{.service = "s", .part = 6, .age = std::chrono::milliseconds(10)}}},
+        .quarantine = {.clearances = {{.service = "s", .trait = 6, .age = std::chrono::milliseconds(10)}}},
     };
     EXPECT_EQ(std::get<entry_news>(decodeDatagram(encodeEntryNews(news))), news);
     EXPECT_THROW(static_cast<void>(decodeEntryMessage(encodeEntryNews(news))), shunt_error) << "entries of earlier versions must not take news for a load";
--- a/test/prompt_quarantine_fleet_test.cpp
+++ b/test/prompt_quarantine_fleet_test.cpp
@@ -259,7 +259,7 @@
         crash_report seen{.service = service, .endpoint = incarnation, .age = noticedAfter};
         for (const auto &request : broken) {
             if (request.entry == entry) {
-                seen.suspects.push_back({.attempt = request.attempt, .parts = request.parts});
+                seen.suspects.push_back({.attempt = request.attempt, .traits = request.parts});
             }
         }
         if (!seen.suspects.empty()) {
--- a/test/prompt_quarantine_test.cpp
+++ b/test/prompt_quarantine_test.cpp
@@ -24,7 +24,7 @@
     {
         m_now += seconds(1);
         answerOthers();
-        m_quarantine.onCrash(report({{.attempt = attempt == 0 ? ++m_attempts : attempt, .parts = parts}}), m_now);
+        m_quarantine.onCrash(report({{.attempt = attempt == 0 ? ++m_attempts : attempt, .traits = parts}}), m_now);
     }
 
     void answerOthers()
@@ -72,7 +72,7 @@
 {
     answerOthers();
     for (int i = 0; i < 10; ++i) {
-        m_quarantine.onCrash(report({{.attempt = ++m_attempts, .parts = {deadlyPart}}}), m_now + milliseconds(i));
+        m_quarantine.onCrash(report({{.attempt = ++m_attempts, .traits = {deadlyPart}}}), m_now + milliseconds(i));
     }
     EXPECT_EQ(check({deadlyPart}), quarantine_verdict::free);
 }
@@ -89,7 +89,7 @@
 {
     for (int i = 0; i < 10; ++i) {
         m_now += seconds(1);
-        m_quarantine.onCrash(report({{.attempt = ++m_attempts, .parts = {popularPart}}}), m_now);
+        m_quarantine.onCrash(report({{.attempt = ++m_attempts, .traits = {popularPart}}}), m_now);
     }
     EXPECT_EQ(check({popularPart}), quarantine_verdict::free);
 }
@@ -140,7 +140,7 @@
     for (int i = 0; i < 5; ++i) {
         m_now += seconds(1);
         answerOthers();
-        m_quarantine.onCrash(report({{.attempt = ++m_attempts, .parts = {deadlyPart}}, {.attempt = ++m_attempts, .parts = {besidePart}}}), m_now);
+        m_quarantine.onCrash(report({{.attempt = ++m_attempts, .traits = {deadlyPart}}, {.attempt = ++m_attempts, .traits = {besidePart}}}), m_now);
     }
     EXPECT_EQ(check({besidePart}), quarantine_verdict::free);
     EXPECT_TRUE(m_quarantine.mayRepeat(service, {besidePart}));
@@ -187,7 +187,7 @@
     for (int trial = 0; trial < 2; ++trial) {
         m_now += m_quarantine.untilTrial(service, {deadlyPart}, m_now);
         m_quarantine.onTrial(service, {deadlyPart}, m_now);
-        m_quarantine.onCrash(report({{.attempt = ++m_attempts, .parts = {deadlyPart}}}), m_now += milliseconds(100));
+        m_quarantine.onCrash(report({{.attempt = ++m_attempts, .traits = {deadlyPart}}}), m_now += milliseconds(100));
         expected *= options.trialBackoff;
         EXPECT_EQ(m_quarantine.untilTrial(service, {deadlyPart}, m_now), expected) << "after trial " << trial;
     }
@@ -254,7 +254,7 @@
 TEST_F(prompt_quarantine_test, CountsACrashThatSeveralEntriesSawOnce)
 {
     answerOthers();
-    const auto seen = report({{.attempt = 1, .parts = {deadlyPart}}});
+    const auto seen = report({{.attempt = 1, .traits = {deadlyPart}}});
     m_quarantine.onCrash(seen, m_now);
     for (int peer = 0; peer < 5; ++peer) {
         m_now += seconds(1);
