Hold several deadly requests of one service, and no frequent sound one beside them

A request that was never answered is now held for all crashes that implicate it. One that was answered is not held while a request that never was shares all of its crashes, and a hold in error ends when a peer tells that it has answered the request.

--- a/src/dispatch/request_quarantine.cpp
+++ b/src/dispatch/request_quarantine.cpp
@@ -192,12 +192,12 @@
         if (trait.kind != trait_kind::whole_request || state.held.contains({trait})) {
             continue;
         }
-        if (auto crashes = unexplainedCrashes(state, trait); isLikelyRequest(state, trait, crashes)) {
+        if (auto crashes = crashesToHoldFor(state, trait); !crashes.empty()) {
             likely.emplace_back(trait, std::move(crashes));
         }
     }
     for (auto &[trait, crashes] : likely) {
-        const bool isDoubtful = crashes.size() < crashesNeeded(state, trait, crashes);
+        const bool isDoubtful = unexplainedCrashes(state, trait).size() < crashesNeeded(state, trait, crashes);
         const auto trialAfter = isDoubtful ? m_options.doubtfulTrialAfter : m_options.firstTrialAfter;
         const auto count = static_cast<int>(crashes.size());
         hold(service, state, {trait}, {.crashes = std::move(crashes), .crashCount = count, .heldAt = now, .nextTrial = now + trialAfter}, "crashes", now);
@@ -285,6 +285,8 @@
         const bool isHeldHere = std::any_of(state.held.begin(), state.held.end(), [trait](const auto &held) { return held.first.contains(trait); });
         if (isHeldHere) {
             wasHeld = true;
+            // Keeps a peer that has not been told yet from holding it here again.
+            rememberAnswer(state, trait, now);
             clear(service, state, trait, now, "operator", now);
             tellClearance(state, trait, now);
         }
@@ -418,9 +420,7 @@
 {
     // Clearances come first, so that the crashes of the same digest do not hold what its sender has cleared since.
     for (const auto &told : digest.clearances) {
-        auto &state = m_services[told.service];
-        rememberAnswer(state, told.trait, now - told.age);
-        clear(told.service, state, told.trait, now - told.age, "peer_answered", now);
+        onPeerAnswered(told, now);
     }
     for (const auto &held : digest.held) {
         adopt(held, now);
@@ -445,6 +445,19 @@
     }
 }
 
+void request_quarantine::onPeerAnswered(const clearance &told, time_point now)
+{
+    auto &state = m_services[told.service];
+    const auto answeredAt = now - told.age;
+    rememberAnswer(state, told.trait, answeredAt);
+    clear(told.service, state, told.trait, answeredAt, "peer_answered", now);
+    const auto held = told.trait.kind == trait_kind::whole_request ? state.held.find({told.trait}) : state.held.end();
+    if (held != state.held.end() && crashesToHoldFor(state, told.trait).empty()) {
+        noteChange(told.service, held->first, held->second, false, "peer_answered", now);
+        state.held.erase(held);
+    }
+}
+
 void request_quarantine::adopt(const held_traits &told, time_point now)
 {
     auto &state = m_services[told.service];
@@ -452,7 +465,9 @@
     trait_set traits = told.traits;
     for (const auto trait : told.traits) {
         const auto answeredAt = lastAnswered(state, trait);
-        if (answeredAt > heldAt) {
+        // Its peer may have held a request because it knew of no answer.
+        const bool isHeldInError = trait.kind == trait_kind::whole_request && answeredAt != time_point{} && crashesToHoldFor(state, trait).empty();
+        if (answeredAt > heldAt || isHeldInError) {
             traits.erase(trait);
             tellClearance(state, trait, answeredAt);
         }
--- a/src/dispatch/request_quarantine.h
+++ b/src/dispatch/request_quarantine.h
@@ -269,7 +269,10 @@
     /// Returns the number of crashes in a row that a request would hardly be in by accident.
     [[nodiscard]] std::size_t crashesNeeded(const service_state &state, request_trait request, const std::set<std::uint64_t> &crashes) const;
     [[nodiscard]] bool isLikelyPart(const service_state &state, request_trait part, const std::set<std::uint64_t> &crashes) const;
-    [[nodiscard]] bool isLikelyRequest(const service_state &state, request_trait request, const std::set<std::uint64_t> &crashes) const;
+    /// Returns whether a request that was never answered is implicated by all of the crashes.
+    [[nodiscard]] static bool hasLikelierCause(const service_state &state, const std::set<std::uint64_t> &crashes);
+    /// Returns the crashes for which the request is to be held; none if it is not.
+    [[nodiscard]] std::set<std::uint64_t> crashesToHoldFor(const service_state &state, request_trait request) const;
     known_crash &addCrash(service_state &state, const crash_report &crash, time_point now);
     void noteCrashUnderHeld(service_state &state, std::uint64_t crashKey, time_point now);
     /// Returns the time from a crash under the held combination to its next trial.
@@ -282,6 +285,8 @@
     void releaseSupersets(const std::string &service, service_state &state, const trait_set &traits, time_point now);
     void clear(const std::string &service, service_state &state, request_trait trait, time_point at, std::string_view reason, time_point now);
     void adopt(const held_traits &told, time_point now);
+    /// Takes over when a peer answered the trait.
+    void onPeerAnswered(const clearance &told, time_point now);
     void tellClearance(service_state &state, request_trait trait, time_point at);
     void rememberAnswer(service_state &state, request_trait trait, time_point now) const;
     [[nodiscard]] static time_point lastAnswered(const service_state &state, request_trait trait);
--- a/src/dispatch/request_quarantine_evidence.cpp
+++ b/src/dispatch/request_quarantine_evidence.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace wisteriashunt
 {
@@ -119,14 +120,35 @@
     return areEnough && ((areNoAccidents && (isServiceAnswering || isOnlyUnanswered)) || isMainSuspect);
 }
 
-bool request_quarantine::isLikelyRequest(const service_state &state, request_trait request, const std::set<std::uint64_t> &crashes) const
+bool request_quarantine::hasLikelierCause(const service_state &state, const std::set<std::uint64_t> &crashes)
 {
-    if (crashes.size() < m_options.crashesToHold) {
-        return false;
+    return std::any_of(state.suspects.begin(), state.suspects.end(), [&](const auto &suspect) {
+        const auto &[trait, implicating] = suspect;
+        return trait.kind == trait_kind::whole_request && implicating.size() >= crashes.size() && lastAnswered(state, trait) == time_point{}
+        && std::all_of(crashes.begin(), crashes.end(), [&](std::uint64_t key) { return implicating.contains(key); });
+    });
+}
+
+std::set<std::uint64_t> request_quarantine::crashesToHoldFor(const service_state &state, request_trait request) const
+{
+    const auto implicating = state.suspects.find(request);
+    if (implicating == state.suspects.end() || implicating->second.size() < m_options.crashesToHold) {
+        return {};
+    }
+    std::set<std::uint64_t> crashes;
+    if (lastAnswered(state, request) == time_point{}) {
+        // Such a request is hardly at several endpoints that one cause ends together. Crashes that another one explains count as well: of two deadly
+        // requests that come together, each explains the crashes of the other.
+        std::transform(
+            implicating->second.begin(), implicating->second.end(), std::inserter(crashes, crashes.end()), [](const auto &each) { return each.first; });
+        return crashes;
+    }
+    crashes = unexplainedCrashes(state, request);
+    if (hasLikelierCause(state, crashes)) {
+        return {};
     }
-    // A request that was never answered is unlikely to be at several endpoints that one cause ends together.
-    const bool wasAnswered = lastAnswered(state, request) != time_point{};
-    return !wasAnswered || countSeparate(state, crashes, m_options.ownCrashSeparation) >= crashesNeeded(state, request, crashes);
+    const bool isUnlikelyByAccident = countSeparate(state, crashes, m_options.ownCrashSeparation) >= crashesNeeded(state, request, crashes);
+    return isUnlikelyByAccident ? crashes : std::set<std::uint64_t>{};
 }
 
 } // namespace wisteriashunt
