Let peers that wait for their turn not postpone a trial, and spread trials by the size of the fleet

The soak of crashing requests showed three crashes and no trial in 18 s: each message of a peer whose own trial was due set this entry's time to now, and its turn after that never came. A sound request held in error would have stayed held. A peer whose trial is due now changes nothing here.

Ruled out: a single entry that makes the trial, as the request may never come to it.

--- a/src/dispatch/request_quarantine.cpp
+++ b/src/dispatch/request_quarantine.cpp
@@ -50,7 +50,13 @@
     }
     constexpr std::uint64_t steps = 64;
     const auto turn = mixBits(m_options.entryKey ^ combination.begin()->id) % steps;
-    return held.nextTrial + m_options.trialSpread * static_cast<std::int64_t>(turn) / static_cast<std::int64_t>(steps);
+    const auto spread = std::max(m_options.minTrialSpread, m_options.trialSpreadPerEntry * static_cast<std::int64_t>(m_entries));
+    return held.nextTrial + spread * static_cast<std::int64_t>(turn) / static_cast<std::int64_t>(steps);
+}
+
+void request_quarantine::noteEntries(std::size_t entries)
+{
+    m_entries = std::max<std::size_t>(1, entries);
 }
 
 quarantine_verdict request_quarantine::check(const std::string &service, const trait_set &traits, time_point now) const
@@ -477,7 +483,10 @@
     }
     if (const auto known = state.held.find(traits); known != state.held.end()) {
         known->second.crashCount = std::max(known->second.crashCount, told.crashes);
-        known->second.nextTrial = std::max(known->second.nextTrial, now + told.untilTrial);
+        // A peer whose trial is due tells no time; its turn may come after that of this entry.
+        if (told.untilTrial > duration{}) {
+            known->second.nextTrial = std::max(known->second.nextTrial, now + told.untilTrial);
+        }
         return;
     }
     const bool isToldApart = std::any_of(state.held.begin(), state.held.end(), [&traits](const auto &held) { return isSubset(held.first, traits); });
--- a/src/dispatch/request_quarantine.h
+++ b/src/dispatch/request_quarantine.h
@@ -132,8 +132,10 @@
     duration longestHold = std::chrono::hours(24);
     /// Crashes later than this after the hold are taken for those of trials, whichever entry made them.
     duration underWayTime = std::chrono::milliseconds(500);
-    /// Trials of a whole request are spread over this time by entry, so that the entry whose turn comes first tells the others before theirs.
-    duration trialSpread = std::chrono::seconds(1);
+    /// Trials of a whole request are spread by entry over this time for each entry, at least over minTrialSpread, so that the entry whose turn comes first
+    /// tells the others before theirs. In large fleets, messages are further apart.
+    duration trialSpreadPerEntry = std::chrono::milliseconds(200);
+    duration minTrialSpread = std::chrono::seconds(1);
     /// Differs from entry to entry.
     std::uint64_t entryKey = 0;
     /// Held traits that nobody has asked for during this time after their trial was due are forgotten.
@@ -175,6 +177,9 @@
 public:
     explicit request_quarantine(const request_quarantine_options &options = {});
 
+    /// Records the number of entries that live, this one included.
+    void noteEntries(std::size_t entries);
+
     /// Decides about a request with these traits.
     [[nodiscard]] quarantine_verdict check(const std::string &service, const trait_set &traits, time_point now) const;
     /// Returns the time until a request with these traits may be tried; zero if they are not held.
@@ -296,6 +301,7 @@
     void noteChange(const std::string &service, const trait_set &traits, const held_state &held, bool isHeld, std::string_view reason, time_point now);
 
     request_quarantine_options m_options;
+    std::size_t m_entries = 1;
     std::map<std::string, service_state> m_services;
     std::vector<held_change> m_changes;
     bool m_hasNews = false;
--- a/test/request_quarantine_fleet_test.cpp
+++ b/test/request_quarantine_fleet_test.cpp
@@ -70,6 +70,7 @@
     {
         for (std::size_t i = 0; i < played.entries; ++i) {
             m_entries.emplace_back(request_quarantine_options{.entryKey = 7 * i + 1});
+            m_entries.back().noteEntries(played.entries);
         }
     }
 
--- a/test/prompt_quarantine_test.cpp
+++ b/test/request_quarantine_test.cpp
@@ -1,4 +1,5 @@
-// Tests which prompts one entry holds for crashes of endpoints.
+// Tests which prompts and requests one entry holds for crashes of endpoints.
+#include "dispatch/request_fingerprint.h"
 #include "dispatch/request_quarantine.h"
 
 #include <gtest/gtest.h>
@@ -276,5 +277,170 @@
     EXPECT_LE(m_quarantine.heldCombinations(), request_quarantine_options{}.maxHeld);
 }
 
+constexpr request_trait deadlyRequest{trait_kind::whole_request, 77};
+constexpr request_trait frequentRequest{trait_kind::whole_request, 78};
+
+/// Whole requests of a service whose endpoints crash within milliseconds of each other and answer nothing meanwhile.
+class request_quarantine_test : public ::testing::Test
+{
+protected:
+    void crashUnder(std::vector<request_trait> requests, milliseconds after = milliseconds(60))
+    {
+        m_now += after;
+        crash_report seen{.service = service, .endpoint = ++m_endpoints};
+        for (const auto request : requests) {
+            seen.suspects.push_back({.attempt = ++m_attempts, .traits = {request}});
+        }
+        m_quarantine.onCrash(seen, m_now);
+    }
+
+    void holdDeadlyRequest()
+    {
+        for (int i = 0; i < 3; ++i) {
+            crashUnder({deadlyRequest});
+        }
+    }
+
+    quarantine_verdict check(request_trait request) const
+    {
+        return m_quarantine.check(service, {request}, m_now);
+    }
+
+    time_point m_now{seconds(1000)};
+    request_quarantine m_quarantine;
+    std::uint64_t m_attempts = 0;
+    std::uint64_t m_endpoints = 0;
+};
+
+TEST_F(request_quarantine_test, HoldsARequestAfterThreeCrashesAlthoughNothingIsAnswered)
+{
+    crashUnder({deadlyRequest});
+    crashUnder({deadlyRequest});
+    EXPECT_EQ(check(deadlyRequest), quarantine_verdict::free) << "two crashes";
+    crashUnder({deadlyRequest});
+    EXPECT_EQ(check(deadlyRequest), quarantine_verdict::held);
+    EXPECT_TRUE(m_quarantine.isWholeRequestHeld(service, {deadlyRequest, popularPart}));
+    EXPECT_EQ(check(frequentRequest), quarantine_verdict::free);
+    EXPECT_EQ(m_quarantine.heldCombinations(trait_kind::whole_request), 1U);
+    EXPECT_EQ(m_quarantine.heldCombinations(trait_kind::prompt_part), 0U);
+}
+
+TEST_F(request_quarantine_test, SendsARequestNoSecondTimeAfterAnEndpointHasCrashedUnderIt)
+{
+    EXPECT_TRUE(m_quarantine.mayRepeat(service, {deadlyRequest}));
+    crashUnder({deadlyRequest});
+    EXPECT_FALSE(m_quarantine.mayRepeat(service, {deadlyRequest}));
+    m_quarantine.onAnswered(service, {deadlyRequest}, m_now);
+    EXPECT_TRUE(m_quarantine.mayRepeat(service, {deadlyRequest}));
+}
+
+TEST_F(request_quarantine_test, DoesNotHoldAnAnsweredRequestThatSharesTheCrashesOfAnother)
+{
+    m_quarantine.onAnswered(service, {frequentRequest}, m_now);
+    for (int i = 0; i < 3; ++i) {
+        crashUnder({deadlyRequest, frequentRequest});
+    }
+    EXPECT_EQ(check(deadlyRequest), quarantine_verdict::held);
+    EXPECT_EQ(check(frequentRequest), quarantine_verdict::free);
+}
+
+TEST_F(request_quarantine_test, HoldsAnAnsweredRequestOnlyAfterSeparateCrashes)
+{
+    m_quarantine.onAnswered(service, {frequentRequest}, m_now);
+    for (int i = 0; i < 5; ++i) {
+        crashUnder({frequentRequest}, milliseconds(1));
+    }
+    EXPECT_EQ(check(frequentRequest), quarantine_verdict::free) << "endpoints that end together";
+    for (int i = 0; i < 3; ++i) {
+        crashUnder({frequentRequest});
+    }
+    EXPECT_EQ(check(frequentRequest), quarantine_verdict::held);
+}
+
+TEST_F(request_quarantine_test, HoldsTwoDeadlyRequestsThatComeTogether)
+{
+    constexpr request_trait other{trait_kind::whole_request, 79};
+    crashUnder({deadlyRequest});
+    for (int i = 0; i < 3; ++i) {
+        crashUnder({deadlyRequest, other});
+    }
+    EXPECT_EQ(check(deadlyRequest), quarantine_verdict::held);
+    EXPECT_EQ(check(other), quarantine_verdict::held);
+}
+
+TEST_F(request_quarantine_test, TriesAHeldRequestAtMostThreeTimes)
+{
+    const request_quarantine_options options;
+    holdDeadlyRequest();
+    for (int trial = 0; trial < options.maxTrials; ++trial) {
+        m_now += m_quarantine.untilTrial(service, {deadlyRequest}, m_now);
+        ASSERT_EQ(check(deadlyRequest), quarantine_verdict::trial) << "trial " << trial;
+        m_quarantine.onTrial(service, {deadlyRequest}, m_now);
+        EXPECT_EQ(check(deadlyRequest), quarantine_verdict::held) << "one trial at a time";
+        crashUnder({deadlyRequest});
+    }
+    EXPECT_GE(m_quarantine.untilTrial(service, {deadlyRequest}, m_now), options.longestHold);
+}
+
+TEST_F(request_quarantine_test, PeersThatWaitForTheirTurnDoNotPostponeATrial)
+{
+    request_quarantine peer;
+    holdDeadlyRequest();
+    const auto due = m_now + m_quarantine.untilTrial(service, {deadlyRequest}, m_now);
+    for (; m_now < due; m_now += milliseconds(20)) {
+        peer.onPeerDigest(m_quarantine.digest(m_now), m_now);
+        m_quarantine.onPeerDigest({.held = peer.held(m_now)}, m_now);
+    }
+    m_now = due;
+    EXPECT_EQ(check(deadlyRequest), quarantine_verdict::trial);
+}
+
+TEST_F(request_quarantine_test, APeerThatAnsweredTheRequestBeforeEndsItsHold)
+{
+    request_quarantine peer;
+    peer.onAnswered(service, {frequentRequest}, m_now);
+    for (int i = 0; i < 3; ++i) {
+        crashUnder({deadlyRequest, frequentRequest});
+    }
+    EXPECT_EQ(check(frequentRequest), quarantine_verdict::held) << "never answered here";
+    peer.onPeerDigest(m_quarantine.digest(m_now), m_now);
+    EXPECT_EQ(peer.check(service, {frequentRequest}, m_now), quarantine_verdict::free);
+    EXPECT_EQ(peer.check(service, {deadlyRequest}, m_now), quarantine_verdict::held);
+    m_quarantine.onPeerDigest(peer.digest(m_now), m_now);
+    EXPECT_EQ(check(frequentRequest), quarantine_verdict::free);
+    EXPECT_EQ(check(deadlyRequest), quarantine_verdict::held);
+}
+
+TEST_F(request_quarantine_test, AnOperatorFreesARequestAtAllEntries)
+{
+    request_quarantine peer;
+    holdDeadlyRequest();
+    const auto late = m_quarantine.digest(m_now);
+    peer.onPeerDigest(late, m_now);
+    EXPECT_FALSE(m_quarantine.freeByOperator(frequentRequest, m_now)) << "not held";
+    m_now += milliseconds(10);
+    EXPECT_TRUE(m_quarantine.freeByOperator(deadlyRequest, m_now));
+    EXPECT_EQ(check(deadlyRequest), quarantine_verdict::free);
+    m_quarantine.onPeerDigest(late, m_now);
+    EXPECT_EQ(check(deadlyRequest), quarantine_verdict::free) << "a peer tells that it holds the request before it hears that it is free";
+    peer.onPeerDigest(m_quarantine.digest(m_now), m_now);
+    EXPECT_EQ(peer.check(service, {deadlyRequest}, m_now), quarantine_verdict::free);
+}
+
+TEST(request_fingerprint_test, IsTheSameForRepeatsOfARequestOnly)
+{
+    const request_identity original{.method = "POST", .target = "/book?day=1", .workspace = "north", .body = "twelve bytes"};
+    EXPECT_EQ(fingerprintOf(original), fingerprintOf({.method = "POST", .target = "/book?day=1", .workspace = "north", .body = "twelve bytes"}));
+    const std::vector<request_identity> others{{.method = "PUT", .target = "/book?day=1", .workspace = "north", .body = "twelve bytes"},
+                                               {.method = "POST", .target = "/book?day=2", .workspace = "north", .body = "twelve bytes"},
+                                               {.method = "POST", .target = "/book?day=1", .workspace = "south", .body = "twelve bytes"},
+                                               {.method = "POST", .target = "/book?day=1", .workspace = "north", .body = "twelve bytez"},
+                                               {.method = "POST", .target = "/book?day=1", .workspace = "north", .body = ""},
+                                               {.method = "POST", .target = "/book?day=1n", .workspace = "orth", .body = "twelve bytes"}};
+    for (const auto &other : others) {
+        EXPECT_NE(fingerprintOf(original), fingerprintOf(other)) << other.method << " " << other.target << " " << other.workspace << " " << other.body;
+    }
+}
+
 } // namespace
 } // namespace wisteriashunt
