Tell entries that start what is held

Entries say in their messages that they have just started; peers that hold something answer with it at once. Ruled out: staying not ready for 0.5 s, as the platform uses entries that are not ready when a zone has no others.

Tests: ctest crashing_request_soak (real processes, short and seeded; by hand with WISTERIASHUNT_SOAK_SEED); crashing_request plays an operator who lists and frees a held request.

--- a/src/gateway/entry_message.cpp
+++ b/src/gateway/entry_message.cpp
@@ -43,7 +43,7 @@
 using packed_incarnation = std::tuple<std::string, std::int64_t>;
 /// The last members are the epoch of the log, the limits of endpoints, the demand by service, begun streams, software versions, crashes,
 /// clearances and held parts of prompts, endpoints that leave, the sender's zone, link and whether it is a relay, and clearances and holds of whole
-/// requests. Entries of earlier versions skip them.
+/// requests, and whether the sender has just started. Entries of earlier versions skip them.
 using packed_place = std::tuple<std::string, double, bool>;
 using packed_message = std::tuple<int,
                                   std::int64_t,
@@ -63,7 +63,8 @@
                                   std::vector<packed_incarnation>,
                                   packed_place,
                                   std::vector<packed_clearance>,
-                                  std::vector<packed_held_request>>;
+                                  std::vector<packed_held_request>,
+                                  bool>;
 
 using packed_zone_loads = std::tuple<int, std::vector<std::string>, bool, std::vector<packed_load>, std::vector<packed_rate>, std::vector<packed_placement>>;
 using packed_news = std::tuple<int,
@@ -371,11 +372,12 @@
                 leaving,
                 place,
                 requestClearances,
-                heldRequests] = packed.as<packed_message>();
+                heldRequests,
+                isStarting] = packed.as<packed_message>();
     if (format != formatVersion) {
         throw shunt_error(error_kind::malformed_frame, "peer message: expected format " + std::to_string(formatVersion) + ", found " + std::to_string(format));
     }
-    entry_message message{.declarationsVersion = version, .isLeaving = isLeaving, .logEpoch = logEpoch};
+    entry_message message{.declarationsVersion = version, .isLeaving = isLeaving, .isStarting = isStarting, .logEpoch = logEpoch};
     message.load = unpackLoad(loads, rates, placements);
     message.load.rateLimits.notices = unpackRateLimits(rateLimits);
     for (const auto &[service, rate] : demand) {
@@ -459,7 +461,8 @@
                                  packIncarnations(message.leaving),
                                  {message.place.availabilityZone, message.place.linkBytesPerSecond, message.place.isRelay},
                                  packClearances(message.quarantine.clearances, trait_kind::whole_request),
-                                 packHeldRequests(message.quarantine.held)});
+                                 packHeldRequests(message.quarantine.held),
+                                 message.isStarting});
     return {buffer.data(), buffer.size()};
 }
 
--- a/src/gateway/entry_message.h
+++ b/src/gateway/entry_message.h
@@ -24,6 +24,8 @@
     /// Version of the declarations in force; -1 if none.
     std::int64_t declarationsVersion = -1;
     bool isLeaving = false;
+    /// Whether the sender has just started and does not know yet what its peers hold.
+    bool isStarting = false;
     load_digest load;
     stream_digest streams;
     quarantine_digest quarantine;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -64,6 +64,9 @@
 /// every peer_exchange_options::idlePeriod.
 constexpr std::chrono::milliseconds firstPeerMessageWait{700};
 
+/// Time after the start during which an entry asks its peers by its messages for what they hold.
+constexpr std::chrono::milliseconds startingTime{600};
+
 /// Time after the start during which an entry that knows of newer declarations at a peer is not ready.
 constexpr std::chrono::milliseconds startCatchUpTime{2500};
 
@@ -297,6 +300,9 @@
     logQuarantineChanges(m_log, m_quarantine);
     m_context.onCapacityFreed();
     m_hasPeerMessage = true;
+    if (message.isStarting && m_quarantine.heldCombinations() > 0) {
+        m_peers->tellNewsTo(from, {.quarantine = {.held = m_quarantine.held(m_loop.now())}});
+    }
     m_newestPeerVersion = std::max(m_newestPeerVersion, message.declarationsVersion);
     if (message.declarationsVersion > declarationsVersion()) {
         m_peerRecords->notePeerAhead(m_declarationsFollower.topic());
@@ -340,6 +346,7 @@
 {
     return {.declarationsVersion = declarationsVersion(),
             .isLeaving = m_leavingSince.has_value(),
+            .isStarting = m_loop.now() - m_startedAt < startingTime,
             .load = m_planner.digest(m_loop.now()),
             .streams = m_streams.digest(m_loop.now()),
             .quarantine = m_quarantine.digest(m_loop.now()),
@@ -523,6 +530,7 @@
     for (const auto &id : expired) {
         removeEndpoint(id, "missing_after_outage");
     }
+    m_quarantine.noteEntries(m_planner.liveEntries(m_loop.now()));
     m_pool.closeExpired();
     closeStaleCallers();
     if (m_peers != nullptr) {
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -202,6 +202,16 @@
     send(bytes, peers);
 }
 
+void peer_exchange::tellNewsTo(const socket_address &peer, const entry_news &news)
+{
+    if (!m_schedule.mayTellNews(1, m_loop.now())) {
+        return;
+    }
+    const auto bytes = encodeEntryNews(news);
+    m_schedule.onNews(1, bytes.size(), m_loop.now());
+    send(bytes, {peer});
+}
+
 void peer_exchange::send(std::string_view bytes, const std::vector<socket_address> &peers)
 {
     for (const auto &peer : peers) {
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -66,6 +66,8 @@
 
     /// Sends news to all peers without waiting for the next round, if the bounds on messages and bytes leave room for it.
     void tellNews();
+    /// Sends news to one peer.
+    void tellNewsTo(const socket_address &peer, const entry_news &news);
 
     /// Peers that read the platform's log for this entry: the relays of its zone with fast links, unless it is one. Empty in small fleets.
     [[nodiscard]] std::vector<socket_address> readers() const;
--- a/test/crashing_request_test.cpp
+++ b/test/crashing_request_test.cpp
@@ -48,6 +48,14 @@
         return callOnceAt(m_entries[entry].callers, bytes);
     }
 
+    /// Calls the operators' address of an entry with a method and target.
+    std::string callOperator(std::size_t entry, const std::string &call)
+    {
+        raw_caller caller(m_entries[entry].readiness);
+        caller.send(call + " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n");
+        return caller.readAll();
+    }
+
     /// Calls the entries by turns, with the deadly request and beside it with sound ones on the same path.
     void play(const std::string &path, milliseconds time)
     {
@@ -130,6 +138,34 @@
     EXPECT_GE(m_soundServed, m_sound * 9 / 10) << "of " << m_sound << " sound requests";
 }
 
+TEST_P(crashing_request_test, IsSeenAndFreedByAnOperator)
+{
+    startEntries();
+    for (std::size_t i = 0; i < endpointCount; ++i) {
+        static_cast<void>(call(i % entryCount, GetParam(), deadlyBody));
+        std::this_thread::sleep_for(downtime + milliseconds(200));
+    }
+    const auto refused = call(0, GetParam(), deadlyBody);
+    EXPECT_NE(refused.find(" 503 "), std::string::npos) << refused;
+    EXPECT_NE(refused.find("\"type\":\"request_quarantined\",\"ran\":\"no\""), std::string::npos) << refused;
+    EXPECT_NE(refused.find("Retry-After: "), std::string::npos) << refused;
+
+    const std::string listed = callOperator(0, "GET /quarantine");
+    const std::string key = "request=";
+    const auto begin = listed.find(key);
+    ASSERT_NE(begin, std::string::npos) << listed;
+    const auto fingerprint = listed.substr(begin + key.size(), listed.find(' ', begin) - begin - key.size());
+    EXPECT_NE(callOperator(0, "POST /quarantine/free?request=no-number").find(" 400 "), std::string::npos);
+    EXPECT_NE(callOperator(0, "POST /quarantine/free?part=" + fingerprint).find(" 404 "), std::string::npos);
+    EXPECT_NE(callOperator(0, "POST /quarantine/free?request=" + fingerprint).find(" 200 "), std::string::npos);
+    const auto isHeldAt = [&](std::size_t entry) { return callOperator(entry, "GET /quarantine").find(fingerprint) != std::string::npos; };
+    const auto deadline = m_clock.now() + milliseconds(2000);
+    while ((isHeldAt(1) || isHeldAt(2)) && m_clock.now() < deadline) {
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    EXPECT_FALSE(isHeldAt(0) || isHeldAt(1) || isHeldAt(2));
+}
+
 INSTANTIATE_TEST_SUITE_P(Routes, crashing_request_test, ::testing::Values("/read/", "/book/"), [](const auto &tested) {
     return std::string(tested.param == "/read/" ? "Idempotent" : "AtMostOnce");
 });
