--- a/src/membership/hash.h
+++ b/src/membership/hash.h
@@ -2,8 +2,9 @@
 #pragma once
 
 #include <algorithm>
-#include <cstddef>
+#include <bit>
 #include <cstdint>
+#include <cstring>
 #include <numeric>
 #include <string_view>
 
@@ -28,16 +29,16 @@
 }
 
 /// Hashes eight bytes at a time, for texts of up to megabytes.
-[[nodiscard]] constexpr std::uint64_t hashBytes(std::string_view bytes, std::uint64_t seed)
+[[nodiscard]] inline std::uint64_t hashBytes(std::string_view bytes, std::uint64_t seed)
 {
-    constexpr std::size_t wordBytes = 8;
+    static_assert(std::endian::native == std::endian::little, "the hash must be the same at every entry");
     constexpr std::uint64_t multiplier = 0x9fb21c651e98df25ULL;
     std::uint64_t hash = seed;
-    for (std::size_t begin = 0; begin < bytes.size(); begin += wordBytes) {
+    while (!bytes.empty()) {
         std::uint64_t word = 0;
-        for (std::size_t i = 0; i < std::min(wordBytes, bytes.size() - begin); ++i) {
-            word |= std::uint64_t{static_cast<unsigned char>(bytes[begin + i])} << (wordBytes * i);
-        }
+        const auto size = std::min(sizeof(word), bytes.size());
+        std::memcpy(&word, bytes.data(), size);
+        bytes.remove_prefix(size);
         hash = (hash ^ word) * multiplier;
         hash ^= hash >> 32U;
     }
