--- a/test/crashing_request_test.cpp
+++ b/test/crashing_request_test.cpp
@@ -134,6 +134,9 @@
     m_sound = 0;
     m_soundServed = 0;
     play(GetParam(), milliseconds(4000));
+    RecordProperty("crashes", deadlyCrashes(GetParam()));
+    RecordProperty("sound", m_sound);
+    RecordProperty("sound_served", m_soundServed);
     EXPECT_LE(lateArrivals(), crash_judge::maxLateArrivals) << deadlyCrashes(GetParam()) << " crashes, " << crashesWhileLearning << " of them early";
     EXPECT_GE(m_soundServed, m_sound * 9 / 10) << "of " << m_sound << " sound requests";
 }
