Name the members of a pair that a lambda captures, which clang rejects as a structured binding

clang-tidy ended with an error in request_quarantine_evidence.cpp; g++ accepts it. No change of behaviour.

--- a/src/dispatch/request_quarantine_evidence.cpp
+++ b/src/dispatch/request_quarantine_evidence.cpp
@@ -123,7 +123,8 @@
 bool request_quarantine::hasLikelierCause(const service_state &state, const std::set<std::uint64_t> &crashes)
 {
     return std::any_of(state.suspects.begin(), state.suspects.end(), [&](const auto &suspect) {
-        const auto &[trait, implicating] = suspect;
+        const request_trait trait = suspect.first;
+        const suspicions &implicating = suspect.second;
         return trait.kind == trait_kind::whole_request && implicating.size() >= crashes.size() && lastAnswered(state, trait) == time_point{}
         && std::all_of(crashes.begin(), crashes.end(), [&](std::uint64_t key) { return implicating.contains(key); });
     });
