--- a/src/dispatch/request_quarantine.cpp
+++ b/src/dispatch/request_quarantine.cpp
@@ -483,7 +483,7 @@
     }
     if (const auto known = state.held.find(traits); known != state.held.end()) {
         known->second.crashCount = std::max(known->second.crashCount, told.crashes);
-        // A peer whose trial is due tells no time; its turn may come after that of this entry.
+        // Zero means that the trial is due at the peer, which must not postpone that of this entry.
         if (told.untilTrial > duration{}) {
             known->second.nextTrial = std::max(known->second.nextTrial, now + told.untilTrial);
         }
--- a/src/dispatch/request_quarantine.h
+++ b/src/dispatch/request_quarantine.h
@@ -108,14 +108,14 @@
     std::uint64_t answersToKnowService = 20;
     /// Separate crashes after which a request with a suspected part is not sent a second time.
     std::size_t crashesToStopRepeats = 2;
-    /// The same for a request that was there itself.
+    /// Crashes under a request after which that request is not sent a second time.
     std::size_t ownCrashesToStopRepeats = 1;
     /// Crashes under one request within this time of each other count as one if it was answered before.
     duration ownCrashSeparation = std::chrono::milliseconds(30);
     /// What is assumed of the other requests of the service before any is known: so many were sent, and so many of them broke.
     double priorRequests = 10;
     double priorBroken = 0.1;
-    /// Time before the first crash under a request for which crashes of other causes count as well.
+    /// Other requests that broke count from this long before the first crash under a request.
     duration accidentWindow = std::chrono::seconds(10);
     /// Time for which crashes are remembered.
     duration memory = std::chrono::minutes(5);
@@ -124,16 +124,16 @@
     /// Time from a crash under held traits to the next trial. Grows by trialBackoff with each trial that fails, up to maxTrialPause.
     duration trialPause = std::chrono::seconds(60);
     int trialBackoff = 4;
-    /// Times to the first and the next trial of a request whose crashes may be an accident, until so many trials have failed.
+    /// Time to each trial of a request whose crashes may be an accident, until doubtfulTrials have failed.
     duration doubtfulTrialAfter = std::chrono::milliseconds(500);
     int doubtfulTrials = 2;
     /// Trials after which there are no more for longestHold. Each may crash an endpoint.
     int maxTrials = 3;
     duration longestHold = std::chrono::hours(24);
-    /// Crashes later than this after the hold are taken for those of trials, whichever entry made them.
+    /// A crash later than this after the hold counts as a failed trial, whichever entry sent it; earlier ones are of requests already sent.
     duration underWayTime = std::chrono::milliseconds(500);
-    /// Trials of a whole request are spread by entry over this time for each entry, at least over minTrialSpread, so that the entry whose turn comes first
-    /// tells the others before theirs. In large fleets, messages are further apart.
+    /// Entries try a whole request at different times within this time multiplied by their number, at least minTrialSpread, so that the first tells the
+    /// others before they try. In large fleets, messages are further apart.
     duration trialSpreadPerEntry = std::chrono::milliseconds(200);
     duration minTrialSpread = std::chrono::seconds(1);
     /// Differs from entry to entry.
@@ -144,7 +144,7 @@
     duration trialTimeout = std::chrono::seconds(5);
     /// Digests that carry each crash and clearance, in case one is lost.
     int repetitions = 3;
-    /// Time between two digests that carry the held parts while nothing changes.
+    /// Time between two digests that carry the held traits while nothing changes.
     duration heldPeriod = std::chrono::milliseconds(500);
     std::size_t maxCrashes = 128;
     std::size_t maxCrashesInDigest = 8;
@@ -290,7 +290,7 @@
     void releaseSupersets(const std::string &service, service_state &state, const trait_set &traits, time_point now);
     void clear(const std::string &service, service_state &state, request_trait trait, time_point at, std::string_view reason, time_point now);
     void adopt(const held_traits &told, time_point now);
-    /// Takes over when a peer answered the trait.
+    /// Records that a peer answered the trait, and ends a hold that this entry's own evidence does not support.
     void onPeerAnswered(const clearance &told, time_point now);
     void tellClearance(service_state &state, request_trait trait, time_point at);
     void rememberAnswer(service_state &state, request_trait trait, time_point now) const;
--- a/src/gateway/entry_message.cpp
+++ b/src/gateway/entry_message.cpp
@@ -42,7 +42,7 @@
 /// ID and start of an endpoint.
 using packed_incarnation = std::tuple<std::string, std::int64_t>;
 /// The last members are the epoch of the log, the limits of endpoints, the demand by service, begun streams, software versions, crashes,
-/// clearances and held parts of prompts, endpoints that leave, the sender's zone, link and whether it is a relay, and clearances and holds of whole
+/// clearances and held parts of prompts, endpoints that leave, the sender's zone, link and whether it is a relay, clearances and holds of whole
 /// requests, and whether the sender has just started. Entries of earlier versions skip them.
 using packed_place = std::tuple<std::string, double, bool>;
 using packed_message = std::tuple<int,
