Review: a case of streams joined from two software versions

Cause: an entry takes its list of endpoints for complete for 5 s after it was last read, also when it is cut off from the store and its peers.

--- a/review/2/main.cpp
+++ b/review/2/main.cpp
@@ -1,29 +1,38 @@
-// Case 2: an entry is stopped in an orderly way while engines write streams in chunks of 20 kB, whose framing comes apart from the data.
+// Case 2: an entry that is cut off for some seconds lets streams of a new software version go on at the old one.
 #include "standins.h"
 
+#include <algorithm>
 #include <csignal>
+#include <functional>
 
 using namespace review;
 
 namespace
 {
 
-constexpr int streams = 12;
-constexpr int smallEvents = 4;
-constexpr int largeEvents = 6;
-constexpr std::size_t largeEventBytes = 20'000;
-constexpr double gracePeriod = 8;
+constexpr int clientsCount = 8;
+constexpr int events = 40;
+constexpr milliseconds eventPause{100};
 
-std::string eventOf(int number, std::size_t bytes)
+/// What a client has of its stream: the versions that wrote the events, in order.
+struct pieces
 {
-    return "id: " + std::to_string(number) + "\ndata: " + std::string(bytes, 'x') + "\n\n";
-}
+    std::vector<std::string> versions;
+    int last = 0;
+};
 
-std::string sizeLine(std::size_t bytes)
+void take(pieces &got, const std::string &body)
 {
-    std::array<char, 24> text{};
-    std::snprintf(text.data(), text.size(), "%zx\r\n", bytes);
-    return text.data();
+    for (std::size_t begin = 0;;) {
+        const auto end = body.find("\n\n", begin);
+        if (end == std::string::npos) {
+            return;
+        }
+        const auto event = body.substr(begin, end - begin);
+        got.last = std::atoi(event.c_str() + 4);
+        got.versions.push_back(event.substr(event.find("data: ") + 6, 2));
+        begin = end + 2;
+    }
 }
 
 } // namespace
@@ -33,21 +42,19 @@
     openRecord("review/2/record.txt");
     run_book runs;
     store platform;
-    const auto serve = [&](const std::string &name) {
-        return [&runs, name](connection &caller) {
+    const auto serve = [&](const std::string &name, const std::string &version) {
+        return [&runs, name, version](connection &caller) {
             while (const auto request = caller.read(milliseconds(60000), false)) {
                 const auto attempt = request->field("x-attempt-id");
-                runs.begin(attempt, name, request->body.size());
+                const int after = std::atoi(request->field("last-event-id").c_str());
+                runs.begin(attempt, name + " (" + version + "), after event " + std::to_string(after), 0);
                 bool isOpen = caller.send(answerHead(*request, 200, "OK") + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-                for (int number = 1; number <= smallEvents + largeEvents && isOpen; ++number) {
-                    sleepFor(milliseconds(100));
-                    const auto event = eventOf(number, number <= smallEvents ? 50 : largeEventBytes);
-                    // The size line, the data and the end of the chunk are written one after the other.
-                    isOpen = caller.send(sizeLine(event.size()));
-                    sleepFor(milliseconds(2));
-                    isOpen = isOpen && caller.send(event);
-                    sleepFor(milliseconds(2));
-                    isOpen = isOpen && caller.send("\r\n");
+                for (int number = after + 1; number <= events && isOpen; ++number) {
+                    sleepFor(eventPause);
+                    const auto event = "id: " + std::to_string(number) + "\ndata: " + version + " piece " + std::to_string(number) + "\n\n";
+                    std::array<char, 24> size{};
+                    std::snprintf(size.data(), size.size(), "%zx\r\n", event.size());
+                    isOpen = caller.send(size.data() + event + "\r\n");
                 }
                 if (!isOpen || !caller.send("0\r\n\r\n")) {
                     return;
@@ -56,61 +63,105 @@
             }
         };
     };
-    server first(serve("i-1"));
-    server second(serve("i-2"));
+    server first(serve("i-1", "v1"));
+    server second(serve("i-2", "v1"));
+    server third(serve("i-3", "v2"));
     platform.putEngine("i-1", "verge-llm", first.port(), 32);
     platform.putEngine("i-2", "verge-llm", second.port(), 32);
-    platform.putConfig(configuration(1, {{"/query/", "stream", "verge-llm", 15000, 1}}, {"verge-llm"}));
-    entry front({.store = platform.port()});
-    front.start();
-    if (!front.waitUntilReady()) {
-        record("the entry is not ready");
+    platform.putConfig(configuration(1, {{"/plan/", "stream", "verge-llm", 15000, 2, true}}, {"verge-llm"}));
+
+    // Three entries that see each other over links only; those of the first one, and its link to the store, can be cut.
+    tcp_link storeLink(platform.port());
+    peer_link firstToSecond;
+    peer_link firstToThird;
+    peer_link secondToThird;
+    entry cutOff({.name = "front-a-1", .store = storeLink.port(), .seeds = {firstToSecond.rightForLeft(), firstToThird.rightForLeft()}});
+    entry other({.name = "front-a-2", .store = platform.port(), .seeds = {secondToThird.rightForLeft()}});
+    entry rest({.name = "front-a-3", .store = platform.port()});
+    firstToSecond.connect(cutOff.control(), other.control());
+    firstToThird.connect(cutOff.control(), rest.control());
+    secondToThird.connect(other.control(), rest.control());
+    const auto cut = [&](bool isCut) {
+        storeLink.cut(isCut);
+        firstToSecond.cut(isCut);
+        firstToThird.cut(isCut);
+    };
+    const std::array<entry *, 3> all{&rest, &other, &cutOff};
+    for (auto *each : all) {
+        each->start();
+    }
+    if (!std::all_of(all.begin(), all.end(), [](const entry *each) { return each->waitUntilReady(); })) {
+        record("an entry is not ready");
         return couldNotRun;
     }
-    sleepFor(milliseconds(3500));
+    sleepFor(milliseconds(4000));
+
+    if (hasTrouble()) {
+        record("front-a-1 is cut off from the store and from the other entries; clients and engines reach it");
+        cut(true);
+    }
+    const double cutAt = now();
+    sleepFor(milliseconds(200));
+    record("a release replaces i-2 (v1) by i-3 (v2): the new one is listed, the old one drains");
+    platform.putEngine("i-3", "verge-llm", third.port(), 32, "ready", "v2");
+    platform.putEngine("i-2", "verge-llm", second.port(), 32, "draining");
+    sleepFor(milliseconds(900));
 
-    record(std::to_string(streams) + " clients ask for streams of " + std::to_string(smallEvents + largeEvents) + " events");
     call_book calls;
+    std::vector<pieces> got(clientsCount);
     std::vector<std::thread> clients;
-    for (int i = 0; i < streams; ++i) {
+    std::atomic<int> takenUp{0};
+    for (int i = 0; i < clientsCount; ++i) {
         clients.emplace_back([&, i] {
-            const auto attempt = "query-" + std::to_string(i);
-            const auto client = connection::open(front.front());
-            if (client == nullptr) {
-                return;
+            const auto ask = [&](std::uint16_t port, const std::string &attempt) {
+                const auto client = connection::open(port);
+                if (client == nullptr) {
+                    return;
+                }
+                const auto head = requestHead("POST", "/plan/1", attempt, 12000)
+                    + (got[i].last == 0 ? "" : "Last-Event-Id: " + std::to_string(got[i].last) + "\r\n") + "Content-Length: 0\r\n\r\n";
+                call made{.attempt = attempt, .sentAt = now(), .wasSent = client->send(head)};
+                const auto answer = client->read(milliseconds(12000), true);
+                made.status = answer ? answer->status() : 0;
+                made.isWhole = answer && answer->isWhole;
+                made.bodyBytes = answer ? answer->body.size() : 0;
+                made.endedAt = now();
+                made.hasClosed = client->hasEnded();
+                calls.add(made);
+                if (made.status == 200) {
+                    take(got[i], answer->body);
+                }
+            };
+            ask(other.front(), "plan-" + std::to_string(i));
+            if (got[i].last > 0 && got[i].last < events) {
+                ++takenUp;
+                ask(cutOff.front(), "plan-" + std::to_string(i) + "-again");
             }
-            const auto request = requestHead("POST", "/query/1", attempt, 15000) + "Content-Length: 0\r\n\r\n";
-            calls.add(callOnce(*client, attempt, {request}, milliseconds(0), milliseconds(15000)));
         });
     }
-    sleepFor(milliseconds(250));
-    double stoppedAt = 0;
+    sleepFor(milliseconds(1200));
+    record("front-a-2 is killed " + std::to_string(now() - cutAt) + " s after the cut; clients take their streams up at front-a-1");
+    other.signal(SIGKILL);
+    sleepFor(milliseconds(1500));
+    cut(false);
     if (hasTrouble()) {
-        stoppedAt = now();
-        record("SIGTERM to the entry");
-        front.signal(SIGTERM);
+        record("the cut has healed after " + std::to_string(now() - cutAt) + " s");
     }
     for (auto &client : clients) {
         client.join();
     }
-    if (hasTrouble()) {
-        const auto status = front.waitForEnd(milliseconds(10000));
-        record("the entry has ended with " + (status ? std::to_string(*status) : std::string("nothing")));
-    }
 
-    int lost = 0;
-    int cut = 0;
-    for (const auto &made : calls.all()) {
-        const bool isCut = !made.isWhole && made.hasClosed && !runs.of(made.attempt).empty();
-        cut += isCut ? 1 : 0;
-        // The clients' deadlines are 15 s off, and no engine broke off.
-        if (isCut && hasTrouble() && made.endedAt >= stoppedAt && made.endedAt <= stoppedAt + gracePeriod + 1) {
-            ++lost;
-            record(made.attempt + " was passed on to a sound engine, and its connection closed before the end of the answer, "
-                   + std::to_string(made.endedAt - stoppedAt) + " s after SIGTERM");
+    int joined = 0;
+    for (int i = 0; i < clientsCount; ++i) {
+        const auto &versions = got[i].versions;
+        const auto change = std::adjacent_find(versions.begin(), versions.end(), std::not_equal_to<>());
+        if (change != versions.end()) {
+            ++joined;
+            record("plan-" + std::to_string(i) + ": pieces 1 to " + std::to_string(change - versions.begin() + 1) + " are of " + *change + ", the rest up to "
+                   + std::to_string(got[i].last) + " of " + *(change + 1));
         }
     }
     calls.write(runs);
-    record("answers cut: " + std::to_string(cut) + " of " + std::to_string(streams) + "; lost around the planned stop: " + std::to_string(lost));
-    return lost > 0 ? broken : held;
+    record("streams taken up: " + std::to_string(takenUp) + "; joined from two versions: " + std::to_string(joined));
+    return joined > 0 ? broken : held;
 }
--- a/review/standins/standins.cpp
+++ b/review/standins/standins.cpp
@@ -359,7 +359,7 @@
     put("keyed.op", "config", json);
 }
 
-void store::putEngine(const std::string &id, const std::string &service, std::uint16_t port, int slots, const std::string &state)
+void store::putEngine(const std::string &id, const std::string &service, std::uint16_t port, int slots, const std::string &state, const std::string &version)
 {
     int sequence = 0;
     {
@@ -368,7 +368,7 @@
     }
     put("keyed.servers",
         id,
-        "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + std::to_string(port) + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":"
+        "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + std::to_string(port) + "\",\"zone\":\"zone-a\",\"version\":\"" + version + "\",\"slots\":"
             + std::to_string(slots) + ",\"state\":\"" + state + "\",\"cold_left_ms\":0,\"born\":1780000000000,\"sequence\":" + std::to_string(sequence) + "}");
 }
 
@@ -445,6 +445,144 @@
     }
 }
 
+tcp_link::tcp_link(std::uint16_t target)
+    : m_target(target)
+    , m_server([this](connection &caller) { forward(caller); })
+{
+}
+
+void tcp_link::forward(connection &caller)
+{
+    while (m_isCut) {
+        sleepFor(milliseconds(5));
+    }
+    const auto peer = connection::open(m_target);
+    if (peer == nullptr) {
+        return;
+    }
+    std::array<pollfd, 2> ends{pollfd{.fd = caller.descriptor(), .events = POLLIN, .revents = 0},
+                               pollfd{.fd = peer->descriptor(), .events = POLLIN, .revents = 0}};
+    std::array<char, 65536> buffer{};
+    while (true) {
+        if (m_isCut) {
+            sleepFor(milliseconds(5));
+            continue;
+        }
+        if (poll(ends.data(), ends.size(), 20) <= 0) {
+            continue;
+        }
+        for (std::size_t from = 0; from < ends.size(); ++from) {
+            if (ends[from].revents == 0) {
+                continue;
+            }
+            const auto count = recv(ends[from].fd, buffer.data(), buffer.size(), 0);
+            auto &to = from == 0 ? *peer : caller;
+            if (count <= 0 || !to.send(std::string_view(buffer.data(), static_cast<std::size_t>(count)))) {
+                return;
+            }
+        }
+    }
+}
+
+peer_link::peer_link()
+{
+    for (std::size_t side = 0; side < m_ports.size(); ++side) {
+        for (bool isBound = false; !isBound;) {
+            m_ports[side] = freePort();
+            const auto address = loopback(m_ports[side]);
+            m_listeners[side] = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+            m_sockets[side] = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+            isBound = bind(m_listeners[side], reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0
+                && bind(m_sockets[side], reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0 && listen(m_listeners[side], 64) == 0;
+            if (!isBound) {
+                ::close(m_listeners[side]);
+                ::close(m_sockets[side]);
+            }
+        }
+    }
+}
+
+peer_link::~peer_link()
+{
+    m_isStopping = true;
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+    for (std::size_t side = 0; side < m_ports.size(); ++side) {
+        ::close(m_listeners[side]);
+        ::close(m_sockets[side]);
+    }
+}
+
+void peer_link::connect(std::uint16_t left, std::uint16_t right)
+{
+    m_entries = {left, right};
+    m_thread = std::thread([this] { run(); });
+}
+
+void peer_link::run()
+{
+    // Side 0 is where the left entry sees the right one: what the left one sends there goes to the right one, from side 1.
+    struct pair
+    {
+        std::unique_ptr<connection> from;
+        std::unique_ptr<connection> to;
+    };
+    std::vector<pair> open;
+    std::array<char, 65536> buffer{};
+    while (!m_isStopping) {
+        std::vector<pollfd> waiting;
+        for (std::size_t side = 0; side < m_ports.size(); ++side) {
+            waiting.push_back({.fd = m_sockets[side], .events = POLLIN, .revents = 0});
+            waiting.push_back({.fd = m_listeners[side], .events = POLLIN, .revents = 0});
+        }
+        for (const auto &each : open) {
+            waiting.push_back({.fd = each.from->descriptor(), .events = POLLIN, .revents = 0});
+            waiting.push_back({.fd = each.to->descriptor(), .events = POLLIN, .revents = 0});
+        }
+        if (poll(waiting.data(), waiting.size(), 20) <= 0) {
+            continue;
+        }
+        for (std::size_t side = 0; side < m_ports.size(); ++side) {
+            if (waiting[2 * side].revents != 0) {
+                sockaddr_in from{};
+                socklen_t size = sizeof from;
+                const auto count = recvfrom(m_sockets[side], buffer.data(), buffer.size(), 0, reinterpret_cast<sockaddr *>(&from), &size);
+                const bool isExpected = count > 0 && ntohs(from.sin_port) == m_entries[side];
+                if (isExpected && !m_isCut) {
+                    const auto to = loopback(m_entries[1 - side]);
+                    sendto(m_sockets[1 - side], buffer.data(), static_cast<std::size_t>(count), 0, reinterpret_cast<const sockaddr *>(&to), sizeof to);
+                }
+            }
+            if (waiting[2 * side + 1].revents != 0 && !m_isCut) {
+                auto from = std::make_unique<connection>(accept4(m_listeners[side], nullptr, nullptr, SOCK_CLOEXEC));
+                if (auto to = connection::open(m_entries[1 - side])) {
+                    open.push_back({std::move(from), std::move(to)});
+                }
+            }
+        }
+        for (std::size_t i = 0; 4 + 2 * i + 1 < waiting.size() && !m_isCut; ++i) {
+            auto &each = open[i];
+            for (std::size_t end = 0; end < 2; ++end) {
+                if (waiting[4 + 2 * i + end].revents == 0 || each.from == nullptr) {
+                    continue;
+                }
+                auto &source = end == 0 ? each.from : each.to;
+                auto &target = end == 0 ? each.to : each.from;
+                const auto count = recv(source->descriptor(), buffer.data(), buffer.size(), 0);
+                if (count <= 0 || !target->send(std::string_view(buffer.data(), static_cast<std::size_t>(count)))) {
+                    each.from.reset();
+                    each.to.reset();
+                }
+            }
+        }
+        std::erase_if(open, [](const pair &each) { return each.from == nullptr; });
+        if (m_isCut) {
+            sleepFor(milliseconds(2));
+        }
+    }
+}
+
 void run_book::begin(const std::string &attempt, const std::string &engine, std::size_t bodyBytes)
 {
     const std::lock_guard lock(m_mutex);
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -2,6 +2,7 @@
 // entries as processes of their own. They follow the users' pages; nothing here is linked with the project's code.
 #pragma once
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <cstdint>
@@ -127,7 +128,12 @@
     /// Writes the configuration. The answer of the store is its acknowledgement.
     void putConfig(const std::string &json);
     /// Writes the entry of an engine.
-    void putEngine(const std::string &id, const std::string &service, std::uint16_t port, int slots, const std::string &state = "ready");
+    void putEngine(const std::string &id,
+                   const std::string &service,
+                   std::uint16_t port,
+                   int slots,
+                   const std::string &state = "ready",
+                   const std::string &version = "v1");
     void removeEngine(const std::string &id);
     std::uint16_t port() const
     {
@@ -151,6 +157,69 @@
     server m_server;
 };
 
+/// A link to a loopback port, for TCP. While it is cut, it carries nothing in either direction and closes nothing.
+class tcp_link
+{
+public:
+    explicit tcp_link(std::uint16_t target);
+
+    void cut(bool isCut)
+    {
+        m_isCut = isCut;
+    }
+    std::uint16_t port() const
+    {
+        return m_server.port();
+    }
+
+private:
+    void forward(connection &caller);
+
+    std::uint16_t m_target;
+    std::atomic<bool> m_isCut{false};
+    server m_server;
+};
+
+/// A link between the control addresses of two entries, for TCP and datagrams. Each entry sees the other one at a port of the link.
+class peer_link
+{
+public:
+    /// The ports at which each is seen by the other are known from the start; the entries' own ones are set before they start.
+    peer_link();
+    ~peer_link();
+    peer_link(const peer_link &) = delete;
+    peer_link &operator=(const peer_link &) = delete;
+
+    void connect(std::uint16_t left, std::uint16_t right);
+    void cut(bool isCut)
+    {
+        m_isCut = isCut;
+    }
+    /// Port at which the right entry is seen by the left one.
+    std::uint16_t rightForLeft() const
+    {
+        return m_ports[0];
+    }
+    /// Port at which the left entry is seen by the right one.
+    std::uint16_t leftForRight() const
+    {
+        return m_ports[1];
+    }
+
+private:
+    void run();
+
+    std::atomic<bool> m_isCut{false};
+    std::atomic<bool> m_isStopping{false};
+    /// Listener, datagram socket and port of each side.
+    std::array<int, 2> m_listeners{};
+    std::array<int, 2> m_sockets{};
+    std::array<std::uint16_t, 2> m_ports{};
+    /// Control ports of the left and the right entry.
+    std::array<std::uint16_t, 2> m_entries{};
+    std::thread m_thread;
+};
+
 /// What an engine did with the request of one attempt.
 struct run
 {
