--- a/review/standins/standins.cpp
+++ b/review/standins/standins.cpp
@@ -19,6 +19,7 @@
 #include <set>
 #include <sstream>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -741,6 +742,8 @@
     const std::string log = m_directory + "/output.txt";
     m_process = fork();
     if (m_process == 0) {
+        // The process ends with the script, however that ends.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         dup2(output, STDOUT_FILENO);
         dup2(output, STDERR_FILENO);
