--- a/src/dispatch/stream_versions.cpp
+++ b/src/dispatch/stream_versions.cpp
@@ -123,6 +123,9 @@
 
 void stream_versions::observeVersions(time_point now)
 {
+    if (m_observedAt != time_point{} && now - m_observedAt > m_options.maxPause) {
+        m_pausedAt = now;
+    }
     m_observedAt = now;
     for (const auto &[service, endpoints] : m_roster.services()) {
         for (const auto &endpoint : endpoints) {
@@ -134,8 +137,10 @@
     if (readAt && (!m_knownSince || hasGap)) {
         m_gapAt = m_knownSince ? std::optional(now) : std::nullopt;
         m_knownSince = readAt;
+        m_ownSince = *readAt;
     }
     m_listReadAt = std::max(m_listReadAt, readAt.value_or(m_listReadAt));
+    m_listAskedAt = listAskedAt ? std::max(m_listAskedAt, listAskedAt()) : m_listReadAt;
     std::erase_if(m_lastListed, [&](const auto &version) { return now - version.second > m_options.history; });
 }
 
@@ -158,17 +163,55 @@
     return versions;
 }
 
-std::optional<stream_origin> stream_versions::originOf(const std::string &attemptId, const std::string &service, time_point now)
+void stream_versions::onListed(const stream_origin &version, time_point now)
+{
+    m_lastListed[version] = now;
+}
+
+const stream_origin *stream_versions::recordedOrigin(const std::string &attemptId, time_point now) const
 {
     const auto known = attemptId.empty() ? m_streams.end() : m_streams.find(streamHash(attemptId));
-    if (known != m_streams.end() && known->second.expiresAt >= now) {
-        return *known->second.origin;
-    }
+    return known != m_streams.end() && known->second.expiresAt >= now ? known->second.origin : nullptr;
+}
+
+std::optional<stream_origin> stream_versions::onlyVersionOf(const std::string &service, time_point now)
+{
     observeVersions(now);
     const auto versions = versionsOf(service);
     return versions.size() == 1 && isHistoryWhole(now) ? std::optional(*versions.front()) : std::nullopt;
 }
 
+bool stream_versions::needsReading(const std::string &attemptId, const std::string &service, time_point now)
+{
+    return listReadAt && recordedOrigin(attemptId, now) == nullptr && onlyVersionOf(service, now).has_value();
+}
+
+std::optional<stream_origin> stream_versions::originOf(const std::string &attemptId, const std::string &service, time_point now)
+{
+    const auto *recorded = recordedOrigin(attemptId, now);
+    return recorded != nullptr ? std::optional(*recorded) : onlyVersionOf(service, now);
+}
+
+void stream_versions::onPassedOver(const std::optional<stream_digest> &peer, time_point now)
+{
+    const auto peerSince = peer ? now - peer->knownFor : now;
+    const bool isFilled = m_knownSince && peerSince <= m_listAskedAt;
+    if (!isFilled) {
+        m_gapAt = now;
+        m_knownSince = peerSince;
+        m_ownSince = now;
+    }
+    if (peer) {
+        onPeerVersions(*peer, now);
+    }
+}
+
+void stream_versions::onPeerVersions(const stream_digest &digest, time_point now)
+{
+    noteListed(digest.versions, now);
+    noteListed(digest.partialVersions, now);
+}
+
 std::vector<begun_stream> stream_versions::takePending(time_point now)
 {
     std::vector<begun_stream> taken;
@@ -209,17 +252,24 @@
 
 stream_digest stream_versions::digest(time_point now)
 {
-    observeVersions(now);
+    auto result = knowledge(now);
     discardExpired(now);
-    stream_digest result;
     if (isAnyOriginAmbiguous(now)) {
         result.begun = takePending(now);
     }
+    return result;
+}
+
+stream_digest stream_versions::knowledge(time_point now)
+{
+    observeVersions(now);
+    stream_digest result;
     auto &versions = isHistoryWhole(now) ? result.versions : result.partialVersions;
     for (const auto &[version, listedAt] : m_lastListed) {
         versions.push_back({.version = version, .age = std::max<duration>(now - listedAt, {})});
     }
     result.knownFor = m_knownSince ? std::max<duration>(now - *m_knownSince, {}) : duration{};
+    result.listAge = std::max<duration>(now - m_listAskedAt, {});
     return result;
 }
 
@@ -231,9 +281,8 @@
     if (now - m_observedAt >= observationPeriod) {
         observeVersions(now);
     }
-    noteListed(digest.versions, now);
-    noteListed(digest.partialVersions, now);
-    noteKnownFor(digest.knownFor, now);
+    onPeerVersions(digest, now);
+    noteKnownFor(digest.knownFor, digest.listAge, now);
 }
 
 void stream_versions::onHistory(const std::vector<listed_version> &versions, duration knownFor, time_point now)
@@ -241,8 +290,8 @@
     observeVersions(now);
     noteListed(versions, now);
     // What happened since the list was first read is known only if there was no gap since then.
-    if (!m_gapAt) {
-        noteKnownFor(knownFor, now);
+    if (m_knownSince && !m_gapAt && isListCurrent(now)) {
+        m_knownSince = std::min(*m_knownSince, now - knownFor);
     }
 }
 
@@ -256,10 +305,11 @@
     }
 }
 
-void stream_versions::noteKnownFor(duration knownFor, time_point now)
+void stream_versions::noteKnownFor(duration knownFor, duration listAge, time_point now)
 {
-    const bool isSettled = !m_gapAt || now - *m_gapAt >= m_options.settlingTime;
-    if (m_knownSince && isSettled && isListCurrent(now)) {
+    const auto isSettled = [&](const std::optional<time_point> &at) { return !at || now - *at >= m_options.settlingTime; };
+    const bool reachesOwn = now - listAge >= m_ownSince;
+    if (m_knownSince && reachesOwn && isSettled(m_gapAt) && isSettled(m_pausedAt) && isListCurrent(now)) {
         m_knownSince = std::min(*m_knownSince, now - knownFor);
     }
 }
--- a/src/dispatch/stream_versions.h
+++ b/src/dispatch/stream_versions.h
@@ -66,6 +66,8 @@
     std::vector<listed_version> partialVersions;
     /// Time for which the entry has known all versions without a gap.
     duration knownFor{};
+    /// Age of the list that this is known from: the time since its last reading began.
+    duration listAge{};
 
     bool operator==(const stream_digest &) const = default;
 };
@@ -79,8 +81,10 @@
     /// Age of the list of endpoints from which on another version may have been listed unseen. Exceeds usual outages of the list, during which
     /// peers that still read it tell of new versions.
     duration maxListAge = std::chrono::seconds(5);
-    /// Time after a gap during which messages of peers may have been sent before it, and prove nothing.
+    /// Time after a gap or a pause of this process during which messages of peers may have been sent before it, and prove nothing.
     duration settlingTime = std::chrono::seconds(1);
+    /// Time between two looks at the list from which on the process counts as having paused.
+    duration maxPause = std::chrono::milliseconds(300);
     /// Most streams that are known at a time; about 4 MB. Later ones are not recorded, and cannot be taken up while two versions serve.
     std::size_t maxStreams = 65536;
     /// Most streams per digest.
@@ -101,6 +105,8 @@
     /// Returns when the list of endpoints in the roster was read; nullopt if not all of it has been. Without this hook the list is
     /// current at all times.
     std::function<std::optional<time_point>()> listReadAt;
+    /// Returns when that reading began. Without this hook a reading takes no time.
+    std::function<time_point()> listAskedAt;
 
     /// Notes the versions that are listed, and forgets those that have not been for longer than the history. To be called a few times a second
     /// so that no version comes and leaves unseen.
@@ -109,10 +115,24 @@
     /// Records that the first event of a caller's attempt has been forwarded.
     void onBegun(const std::string &attemptId, const stream_origin &origin, duration timeLeft, time_point now);
 
+    /// Notes the version of a record of the list, which may be replaced or removed by the next one before observeVersions() is called.
+    void onListed(const stream_origin &version, time_point now);
+
+    /// Returns whether originOf() would infer the origin from the list alone. The list may lack a version that was listed since it was last
+    /// read, and of which a stream has begun elsewhere; so the caller must have the list read first, by a reading that begins after the
+    /// attempt has arrived.
+    [[nodiscard]] bool needsReading(const std::string &attemptId, const std::string &service, time_point now);
+
     /// Returns where the stream of the attempt began; nullopt if that is not known. An attempt that is not known began at the version that
-    /// alone served the service, if it was the only one.
+    /// alone served the service, if it was the only one. See needsReading().
     [[nodiscard]] std::optional<stream_origin> originOf(const std::string &attemptId, const std::string &service, time_point now);
 
+    /// Records that the list was read, or taken over from a peer, without all of the records in between. What the peer knew when it gave the
+    /// list fills the gap if the peer saw these records.
+    void onPassedOver(const std::optional<stream_digest> &peer, time_point now);
+    /// Records the versions that a peer knows.
+    void onPeerVersions(const stream_digest &digest, time_point now);
+
     /// Records what the list's history shows, from before this entry read the list: the versions, and for how long all of them are known. The
     /// history must reach to the first complete reading of the list.
     void onHistory(const std::vector<listed_version> &versions, duration knownFor, time_point now);
@@ -133,6 +153,8 @@
     /// Returns whether the next digest tells peers of streams.
     [[nodiscard]] bool hasNews(time_point now) const;
     [[nodiscard]] stream_digest digest(time_point now);
+    /// Returns the part of a digest that concerns versions.
+    [[nodiscard]] stream_digest knowledge(time_point now);
     void onPeerDigest(const stream_digest &digest, time_point now);
 
     /// Returns the number of streams that are known.
@@ -163,8 +185,11 @@
     void discardExpired(time_point now);
     /// Returns whether the list of endpoints was read recently enough for no other version to be listed unseen.
     [[nodiscard]] bool isListCurrent(time_point now) const;
-    /// Moves the moment from which all versions are known back, unless there was a gap just before.
-    void noteKnownFor(duration knownFor, time_point now);
+    /// Moves the moment from which all versions are known back, unless there was a gap just before or what is told ends before the own list begins.
+    void noteKnownFor(duration knownFor, duration listAge, time_point now);
+    /// Returns the stream's recorded origin, or nullptr.
+    [[nodiscard]] const stream_origin *recordedOrigin(const std::string &attemptId, time_point now) const;
+    [[nodiscard]] std::optional<stream_origin> onlyVersionOf(const std::string &service, time_point now);
     void noteListed(const std::vector<listed_version> &versions, time_point now);
     /// Returns whether an attempt that is not known may have begun at more than one version of its service.
     [[nodiscard]] bool isAnyOriginAmbiguous(time_point now) const;
@@ -191,8 +216,13 @@
     std::optional<time_point> m_knownSince;
     time_point m_listReadAt;
     time_point m_observedAt;
-    /// When the last gap was noticed.
+    /// When the reading that the list was last known from began.
+    time_point m_listAskedAt;
+    /// From when on the own list shows all versions.
+    time_point m_ownSince;
+    /// When the last gap was noticed, and when this process last went on after a pause.
     std::optional<time_point> m_gapAt;
+    std::optional<time_point> m_pausedAt;
     time_point m_discardedAt;
 };
 
--- a/src/evidence/decision.cpp
+++ b/src/evidence/decision.cpp
@@ -106,6 +106,8 @@
         return "streams_recovered";
     case event_number::endpoint_history_read:
         return "endpoint_history_read";
+    case event_number::list_read_for_stream:
+        return "list_read_for_stream";
     case event_number::process_started:
         return "process_started";
     case event_number::process_leaving:
--- a/src/evidence/decision.h
+++ b/src/evidence/decision.h
@@ -62,6 +62,7 @@
     log_restored = 503,
     streams_recovered = 504,
     endpoint_history_read = 505,
+    list_read_for_stream = 506,
     process_started = 601,
     process_leaving = 602,
     process_stopped = 603,
--- a/src/gateway/entry_message.cpp
+++ b/src/gateway/entry_message.cpp
@@ -29,9 +29,9 @@
 using packed_streams = std::tuple<std::string, std::string, std::vector<std::tuple<std::uint64_t, std::int64_t>>>;
 /// Service, software version, and the milliseconds since it was last listed.
 using packed_version = std::tuple<std::string, std::string, std::int64_t>;
-/// Milliseconds for which the sender has known all versions, and the versions it has seen while that is not long enough to name all. Entries of
-/// earlier versions take versions that are told elsewhere for all there are.
-using packed_version_knowledge = std::tuple<std::int64_t, std::vector<packed_version>>;
+/// Milliseconds for which the sender has known all versions, the versions it has seen while that is not long enough to name all, and the age of
+/// its list in milliseconds, if known. Entries of earlier versions take versions that are told elsewhere for all there are.
+using packed_version_knowledge = std::tuple<std::int64_t, std::vector<packed_version>, std::vector<std::int64_t>>;
 /// Attempt, parts of the prompt and fingerprint of a request that a crash implicates.
 using packed_suspect = std::tuple<std::uint64_t, std::vector<std::uint64_t>, std::uint64_t>;
 /// Service, endpoint, age in milliseconds and the suspected requests.
@@ -390,11 +390,12 @@
     for (const auto &[service, rate] : demand) {
         message.load.rateLimits.demand[service] = notNegative(rate);
     }
-    const auto &[knownFor, partialVersions] = versionKnowledge;
+    const auto &[knownFor, partialVersions, listAge] = versionKnowledge;
     message.streams = {.begun = unpackStreams(streams),
                        .versions = unpackVersions(versions),
                        .partialVersions = unpackVersions(partialVersions),
-                       .knownFor = unpackMilliseconds(knownFor)};
+                       .knownFor = unpackMilliseconds(knownFor),
+                       .listAge = listAge.empty() ? stream_version_options{}.maxListAge : unpackMilliseconds(listAge.front())};
     message.quarantine = unpackQuarantine(crashes, held, heldRequests);
     unpackClearances(clearances, trait_kind::prompt_part, message.quarantine);
     unpackClearances(requestClearances, trait_kind::whole_request, message.quarantine);
@@ -453,29 +454,30 @@
     const auto &limits = message.load.rateLimits;
     const std::vector<packed_rate> demand(limits.demand.begin(), limits.demand.end());
     msgpack::sbuffer buffer;
-    msgpack::pack(buffer,
-                  packed_message{formatVersion,
-                                 message.declarationsVersion,
-                                 message.isLeaving,
-                                 loads,
-                                 rates,
-                                 placements,
-                                 peers,
-                                 message.logEpoch,
-                                 packRateLimits(limits.notices),
-                                 demand,
-                                 packStreams(message.streams.begun),
-                                 packVersions(message.streams.versions),
-                                 packCrashes(message.quarantine.crashes),
-                                 packClearances(message.quarantine.clearances, trait_kind::prompt_part),
-                                 packHeldParts(message.quarantine.held),
-                                 packIncarnations(message.leaving),
-                                 {message.place.availabilityZone, message.place.linkBytesPerSecond, message.place.isRelay},
-                                 packClearances(message.quarantine.clearances, trait_kind::whole_request),
-                                 packHeldRequests(message.quarantine.held),
-                                 message.isStarting,
-                                 {packMilliseconds(message.streams.knownFor), packVersions(message.streams.partialVersions)},
-                                 message.hasDuties});
+    msgpack::pack(
+        buffer,
+        packed_message{formatVersion,
+                       message.declarationsVersion,
+                       message.isLeaving,
+                       loads,
+                       rates,
+                       placements,
+                       peers,
+                       message.logEpoch,
+                       packRateLimits(limits.notices),
+                       demand,
+                       packStreams(message.streams.begun),
+                       packVersions(message.streams.versions),
+                       packCrashes(message.quarantine.crashes),
+                       packClearances(message.quarantine.clearances, trait_kind::prompt_part),
+                       packHeldParts(message.quarantine.held),
+                       packIncarnations(message.leaving),
+                       {message.place.availabilityZone, message.place.linkBytesPerSecond, message.place.isRelay},
+                       packClearances(message.quarantine.clearances, trait_kind::whole_request),
+                       packHeldRequests(message.quarantine.held),
+                       message.isStarting,
+                       {packMilliseconds(message.streams.knownFor), packVersions(message.streams.partialVersions), {packMilliseconds(message.streams.listAge)}},
+                       message.hasDuties});
     return {buffer.data(), buffer.size()};
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -146,7 +146,9 @@
                            .rules = endpointRules(m_options.decoders)},
                           {.isReadElsewhere = [this] { return hasReaders(); },
                            .onRecord = [this](const keyed_record &record, record_timing timing) { onEndpointRecord(record, timing); },
-                           .onEpoch = [this](std::int64_t epoch) { m_declarationsFollower.noteEpoch(epoch); }})
+                           .onEpoch = [this](std::int64_t epoch) { m_declarationsFollower.noteEpoch(epoch); },
+                           .onPassedOver = [this] { m_streams.onPassedOver(std::nullopt, m_loop.now()); },
+                           .demandPause = [this] { return listDemandPause(m_planner.liveEntries(m_loop.now())); }})
     , m_callerHooks(std::make_shared<caller_hooks>(
           caller_hooks{.onRequest = [this](const auto &caller, received_request &&request) { onRequest(caller, std::move(request)); },
                        .onDisconnected = [this](caller_connection &caller) { onCallerDisconnected(caller); },
@@ -168,6 +170,8 @@
         }
     };
     m_streams.listReadAt = [this] { return m_endpointsFollower.isComplete() ? std::optional(m_endpointsFollower.lastAnswer()) : std::nullopt; };
+    m_streams.listAskedAt = [this] { return m_endpointsFollower.lastAsked(); };
+    m_context.readList = [this](std::function<void(bool)> onRead) { readList(std::move(onRead)); };
     m_context.onEndpointLeaving = [this] { announceNews(); };
     m_context.onQuarantineChange = [this] { announceQuarantineChange(); };
     m_roster.onUnavailable = [this](const endpoint_pointer &endpoint) {
@@ -225,7 +229,16 @@
         m_loop,
         m_log,
         peer_records_options{.self = *self, .readerPeriod = fromSeconds(readerPeriodShare * toSeconds(m_options.settings.maxDrainDelay))},
-        std::vector{&m_declarationsFollower, &m_endpointsFollower});
+        std::vector{&m_declarationsFollower, &m_endpointsFollower},
+        peer_records::hooks{.versionsOf = [this](const std::string &topic) -> std::optional<stream_digest> {
+                                return topic == m_endpointsFollower.topic() ? std::optional(m_streams.knowledge(m_loop.now())) : std::nullopt;
+                            },
+                            .onMerged =
+                                [this](const std::string &topic, const std::optional<stream_digest> &versions, bool hasPassedOver) {
+                                    if (topic == m_endpointsFollower.topic()) {
+                                        onListMerged(versions, hasPassedOver);
+                                    }
+                                }});
     peer_exchange_options options;
     options.schedule.maxBytesPerSecond = exchangeLinkShare * m_options.settings.linkBytesPerSecond;
     options.place = {.availabilityZone = m_options.settings.availabilityZone, .linkBytesPerSecond = m_options.settings.linkBytesPerSecond};
@@ -484,6 +497,7 @@
     }
     try {
         const auto endpoint = m_options.decoders.endpoint(record.key, *record.value);
+        m_streams.onListed({.service = endpoint.service, .softwareVersion = endpoint.softwareVersion}, m_loop.now());
         m_pendingRemovals.erase(record.key);
         if (m_roster.apply(endpoint)) {
             m_log.write(event_number::endpoint_listed,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -84,6 +84,9 @@
     void startDuties();
     void startStreamStore();
     void onStreamTick();
+    /// Reads the list of endpoints, in a reading that begins after this call, or has a peer read it if the log does not answer.
+    void readList(std::function<void(bool isRead)> onRead);
+    void onListMerged(const std::optional<stream_digest> &versions, bool hasPassedOver);
     /// Tells peers of this entry's streams and of changes of the quarantine at the end of this iteration of the loop.
     void announceNews();
     /// Logs what has changed in the quarantine and announces it.
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -70,6 +70,8 @@
     std::function<void()> onEndpointLeaving = [] {};
     /// Called when the quarantine of prompts may have changed.
     std::function<void()> onQuarantineChange = [] {};
+    /// Reads the list of endpoints in a reading that begins after the call, and reports whether that succeeded.
+    std::function<void(std::function<void(bool isRead)> onRead)> readList = [](const std::function<void(bool)> &onRead) { onRead(false); };
     /// Called when an endpoint has begun to run a request of the workspace.
     std::function<void(const std::string &workspace)> onRunBegun = [](const std::string &) {};
     bool isQueueRunScheduled = false;
--- a/src/gateway/gateway_streams.cpp
+++ b/src/gateway/gateway_streams.cpp
@@ -32,6 +32,27 @@
             .onHistory = [this](const version_history &history) { m_streams.onHistory(history.versions(), history.knownFor(), m_loop.now()); }});
 }
 
+void gateway::readList(std::function<void(bool isRead)> onRead)
+{
+    m_endpointsFollower.readNow([this, onRead = std::move(onRead)](bool isRead) {
+        const auto peers = isRead || m_peers == nullptr ? std::vector<socket_address>{} : m_peers->livePeers();
+        if (peers.empty()) {
+            onRead(isRead);
+        } else {
+            m_peerRecords->fetchFresh(m_endpointsFollower, peers, onRead);
+        }
+    });
+}
+
+void gateway::onListMerged(const std::optional<stream_digest> &versions, bool hasPassedOver)
+{
+    if (hasPassedOver) {
+        m_streams.onPassedOver(versions, m_loop.now());
+    } else if (versions) {
+        m_streams.onPeerVersions(*versions, m_loop.now());
+    }
+}
+
 void gateway::onStreamTick()
 {
     m_streams.observeVersions(m_loop.now());
--- a/src/gateway/log_follower.cpp
+++ b/src/gateway/log_follower.cpp
@@ -3,6 +3,8 @@
 #include "wisteriashunt/errors.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace wisteriashunt
 {
@@ -31,6 +33,13 @@
     return {};
 }
 
+duration listDemandPause(std::size_t liveEntries)
+{
+    constexpr std::chrono::milliseconds minPause{10};
+    constexpr std::chrono::milliseconds pausePerEntry{1};
+    return std::max<duration>(minPause, pausePerEntry * static_cast<std::int64_t>(liveEntries));
+}
+
 log_follower::log_follower(event_loop &loop, event_log &log, const keyed_log_dialect &dialect, const log_follower_options &options, follower_hooks hooks)
     : m_loop(loop)
     , m_log(log)
@@ -89,7 +98,12 @@
 
 follower_currency log_follower::currency() const
 {
-    return {.age = m_loop.now() - m_lastAnswer, .sinceFailure = m_loop.now() - m_lastFailure};
+    return {.age = m_loop.now() - m_lastAnswer, .sinceFailure = m_loop.now() - m_lastFailure, .sinceAsked = m_loop.now() - m_lastAsked};
+}
+
+time_point log_follower::lastAsked() const
+{
+    return m_lastAsked;
 }
 
 log_position log_follower::position() const
@@ -97,7 +111,7 @@
     return m_records.next().value_or(log_position{.epoch = m_records.epoch(), .offset = -1});
 }
 
-void log_follower::merge(const keyed_snapshot &snapshot, const std::optional<follower_currency> &currency)
+bool log_follower::merge(const keyed_snapshot &snapshot, const std::optional<follower_currency> &currency)
 {
     // Records that the other entry removed soon after an outage may have expired because of it.
     const bool isAfterOutage = currency && currency->sinceFailure < outageRecoveryTime + m_options.timeout;
@@ -106,31 +120,88 @@
     const bool isAhead = m_records.merge(snapshot);
     if (currency && snapshot.next >= 0 && !(snapshot.position() < position())) {
         m_lastAnswer = std::max(m_lastAnswer, m_loop.now() - currency->age);
+        if (currency->sinceAsked) {
+            m_lastAsked = std::max(m_lastAsked, m_loop.now() - *currency->sinceAsked);
+        }
     }
     if (!isAhead) {
-        return;
+        return false;
     }
     if (!currency) {
         m_lastAnswer = m_loop.now();
     }
     logEpochChange();
+    const bool hasPassedOver = m_records.takePassedOver();
     becomeComplete();
+    return hasPassedOver;
+}
+
+void log_follower::readNow(demand_hook onRead)
+{
+    // A log that failed repeatedly is tried at its own pace, and nobody waits for that.
+    if (!m_isReading && m_backoff > m_options.initialBackoff) {
+        onRead(false);
+        return;
+    }
+    m_demands.push_back(std::move(onRead));
+    if (!m_isReading) {
+        scheduleDemanded();
+    }
+}
+
+void log_follower::scheduleDemanded()
+{
+    const auto due = m_lastDemanded + m_hooks.demandPause();
+    if (due <= m_loop.now()) {
+        m_loop.cancel(m_nextRead);
+        beginReading();
+    } else {
+        scheduleNext(due - m_loop.now());
+    }
+}
+
+void log_follower::reportDemands(bool isRead)
+{
+    const auto served = std::exchange(m_servedDemands, {});
+    for (const auto &demand : served) {
+        demand(isRead);
+    }
+}
+
+bool log_follower::isUpToEnd(const log_read &asked, const keyed_page &page) const
+{
+    const log_position end{.epoch = asked.from.epoch, .offset = page.end};
+    // The topic never gets shorter within an epoch.
+    const bool isOutdated = m_knownAtCall.epoch == end.epoch && end.offset < m_knownAtCall.offset;
+    return !isOutdated && position() >= end;
 }
 
 void log_follower::read()
 {
     const bool isCurrent = m_isComplete && !m_records.hasNewEpoch() && m_loop.now() - m_lastAnswer < m_options.maxRelayedAge;
-    if (isCurrent && m_hooks.isReadElsewhere()) {
+    if (m_demands.empty() && isCurrent && m_hooks.isReadElsewhere()) {
         constexpr std::chrono::milliseconds checkPeriod{50};
         scheduleNext(checkPeriod);
         return;
     }
+    beginReading();
+}
+
+void log_follower::beginReading()
+{
+    m_isReading = true;
+    m_readingSince = m_loop.now();
+    m_servedDemands = std::exchange(m_demands, {});
+    if (!m_servedDemands.empty()) {
+        m_lastDemanded = m_loop.now();
+    }
     call();
 }
 
 void log_follower::call()
 {
     const auto asked = m_records.nextRead();
+    m_knownAtCall = position();
     const duration wait = asked.isNewest ? duration{} : m_options.wait;
     const auto waitMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
     auto request = asked.isNewest ? m_dialect.newestRequest(m_options.topic, asked.afterKey)
@@ -168,36 +239,61 @@
         fail("status_" + std::to_string(head.status));
         return;
     }
+    read_step step{};
+    bool isRead = false;
     try {
         const auto page = isMissing ? keyed_page{} : asked.isNewest ? m_dialect.readNewest(body) : m_dialect.readRecords(body, asked.from.offset);
         succeed();
         if (m_records.hasNewEpoch()) {
             m_timing = record_timing::first_after_outage;
         }
-        takeStep(isMissing ? m_records.onMissing(asked) : m_records.onPage(asked, page));
+        step = isMissing ? m_records.onMissing(asked) : m_records.onPage(asked, page);
+        isRead = !isMissing && isUpToEnd(asked, page);
     } catch (const shunt_error &error) {
         fail(error.what());
+        return;
     }
+    takeStep(step, isRead);
 }
 
-void log_follower::takeStep(read_step step)
+void log_follower::takeStep(read_step step, bool isRead)
 {
     switch (step) {
     case read_step::read_on:
         logEpochChange();
+        if (m_records.takePassedOver()) {
+            m_hooks.onPassedOver();
+        }
+        if (isRead) {
+            m_lastAsked = std::max(m_lastAsked, m_readingSince);
+        }
         becomeComplete();
-        scheduleNext(m_options.period);
+        endReading(m_options.period);
+        reportDemands(isRead);
         return;
     case read_step::next_page:
     case read_step::read_newest:
         call();
         return;
     case read_step::read_new_epoch:
+        m_demands.insert(m_demands.end(), m_servedDemands.begin(), m_servedDemands.end());
+        m_servedDemands.clear();
+        m_isReading = false;
         scheduleNext(m_options.rereadDelay);
         return;
     }
 }
 
+void log_follower::endReading(duration pause)
+{
+    m_isReading = false;
+    if (m_demands.empty()) {
+        scheduleNext(pause);
+    } else {
+        scheduleDemanded();
+    }
+}
+
 void log_follower::logEpochChange()
 {
     const auto change = m_records.takeChange();
@@ -246,13 +342,18 @@
         m_log.write(event_number::platform_down, {{"topic", m_options.topic}, {"reason", reason}});
     }
     m_backoff = m_backoff == duration{} ? m_options.initialBackoff : std::min(m_options.maxBackoff, 2 * m_backoff);
+    m_isReading = false;
     scheduleNext(m_backoff);
+    // Demands that came meanwhile would wait for a log that is away.
+    m_servedDemands.insert(m_servedDemands.end(), std::make_move_iterator(m_demands.begin()), std::make_move_iterator(m_demands.end()));
+    m_demands.clear();
+    reportDemands(false);
 }
 
 void log_follower::scheduleNext(duration pause)
 {
-    const timer_id timer = m_loop.schedule(m_loop.now() + pause, [this] { read(); });
-    static_cast<void>(timer);
+    m_loop.cancel(m_nextRead);
+    m_nextRead = m_loop.schedule(m_loop.now() + pause, [this] { read(); });
 }
 
 } // namespace wisteriashunt
--- a/src/gateway/log_follower.h
+++ b/src/gateway/log_follower.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace wisteriashunt
 {
@@ -56,6 +57,10 @@
 /// Longest pause between two attempts to read the list of endpoints during an outage of the log.
 inline constexpr std::chrono::milliseconds endpointsMaxBackoff{400};
 
+/// Returns the shortest pause between two readings of the list on demand by one entry, with which all entries together make at most a thousand
+/// calls a second.
+[[nodiscard]] duration listDemandPause(std::size_t liveEntries);
+
 /// How current a follower is, for entries that follow the topic through it.
 struct follower_currency
 {
@@ -63,6 +68,8 @@
     duration age{};
     /// Time since the log last failed to answer.
     duration sinceFailure{};
+    /// Time since the reading began that the log answered last; nullopt from entries of earlier versions.
+    std::optional<duration> sinceAsked = std::nullopt;
 
     bool operator==(const follower_currency &) const = default;
 };
@@ -78,6 +85,10 @@
     std::function<void()> onComplete = [] {};
     /// Called when the log, or a snapshot, shows a higher epoch than all before.
     std::function<void(std::int64_t epoch)> onEpoch = [](std::int64_t) {};
+    /// Called after a reading that passed over records, so that a key may have had values that were not seen.
+    std::function<void()> onPassedOver = [] {};
+    /// Returns the shortest pause between the beginnings of two readings on demand.
+    std::function<duration()> demandPause = [] { return duration{}; };
 };
 
 /// Follows one topic. Reads the newest record of each key first and later records from there on, and retries failed calls with backoff.
@@ -91,6 +102,11 @@
 
     void start();
 
+    /// Reads the topic at once, up to its end, in a call that begins after this one, and reports whether that succeeded. Demands that come
+    /// while a reading is in progress share the next one.
+    using demand_hook = std::function<void(bool isRead)>;
+    void readNow(demand_hook onRead);
+
     /// Whether the last call succeeded.
     [[nodiscard]] bool isReachable() const;
     /// Whether the whole topic has been read, or merged from a snapshot, at least once.
@@ -107,8 +123,10 @@
     [[nodiscard]] keyed_snapshot snapshot() const;
 
     /// Merges the records of another entry; see topic_records::merge(). The entry is as current as the other one if its place in the log is not
-    /// ahead of the snapshot.
-    void merge(const keyed_snapshot &snapshot, const std::optional<follower_currency> &currency = std::nullopt);
+    /// ahead of the snapshot. Returns whether records were passed over, which is not reported by the hook.
+    bool merge(const keyed_snapshot &snapshot, const std::optional<follower_currency> &currency = std::nullopt);
+    /// When the last reading that the log answered had begun, directly or through another entry; see follower_currency.
+    [[nodiscard]] time_point lastAsked() const;
     [[nodiscard]] follower_currency currency() const;
     /// Place in the log up to which records are known; offset -1 if the topic has not been read completely.
     [[nodiscard]] log_position position() const;
@@ -120,12 +138,22 @@
     void onAnswer(const log_read &asked, const http_response_head &head, const std::string &body);
     /// Notes the epoch of an answer. Returns the reason if the answer must be discarded.
     [[nodiscard]] std::optional<std::string> noteEpochOf(const header_list &headers);
-    void takeStep(read_step step);
+    /// isRead: whether the answer shows the topic up to its end.
+    void takeStep(read_step step, bool isRead);
+    void beginReading();
+    /// Schedules the next reading: for the demands that wait, if there are any, or after the pause.
+    void endReading(duration pause);
     void becomeComplete();
     void logEpochChange();
     void succeed();
     void fail(const std::string &reason);
     void scheduleNext(duration pause);
+    /// Begins a reading for the demands that wait, now or after the shortest pause between two of these.
+    void scheduleDemanded();
+    /// Ends the demands that the reading in progress serves.
+    void reportDemands(bool isRead);
+    /// Whether the answer shows the topic up to the end that it had when the reading began, or later.
+    [[nodiscard]] bool isUpToEnd(const log_read &asked, const keyed_page &page) const;
 
     event_loop &m_loop;
     event_log &m_log;
@@ -140,6 +168,17 @@
     record_timing m_timing = record_timing::steady;
     bool m_isReachable = false;
     bool m_isComplete = false;
+    timer_id m_nextRead = 0;
+    /// When the reading in progress, and the last one that was answered, began.
+    time_point m_readingSince;
+    time_point m_lastAsked;
+    bool m_isReading = false;
+    /// Demands for which a reading has to begin, those that the one in progress serves, and when one last began for a demand.
+    std::vector<demand_hook> m_demands;
+    std::vector<demand_hook> m_servedDemands;
+    time_point m_lastDemanded;
+    /// The known position at the start of the call in progress.
+    log_position m_knownAtCall;
 };
 
 } // namespace wisteriashunt
--- a/src/gateway/peer_records.h
+++ b/src/gateway/peer_records.h
@@ -4,6 +4,7 @@
 /// are ignored.
 #pragma once
 
+#include "dispatch/stream_versions.h"
 #include "gateway/event_log.h"
 #include "gateway/log_follower.h"
 #include "gateway/peer_exchange.h"
@@ -23,6 +24,10 @@
     keyed_snapshot records;
     /// nullopt from entries of earlier versions.
     std::optional<follower_currency> currency;
+    /// For the list of endpoints: the software versions that the entry knows of. nullopt from entries of earlier versions.
+    std::optional<stream_digest> versions = std::nullopt;
+    /// Whether the entry has read the topic since it was asked.
+    bool isFresh = false;
 
     bool operator==(const peer_snapshot &) const = default;
 };
@@ -45,14 +50,27 @@
     duration timeout = std::chrono::milliseconds(600);
     /// Most bytes of the records of one topic.
     std::size_t maxAnswerBytes = 16 * 1024 * 1024;
+    /// Time for one fresh copy, in which the peer reads the log.
+    duration freshTimeout = std::chrono::milliseconds(600);
+    /// Most peers that are asked for one fresh copy.
+    int maxFreshAttempts = 2;
 };
 
 /// Serves the records of the followers, and fetches newer ones from peers while the log does not answer or a peer is ahead.
 class peer_records
 {
 public:
+    struct hooks
+    {
+        /// Returns what this entry knows of the software versions of the topic's endpoints; nullopt for other topics.
+        std::function<std::optional<stream_digest>(const std::string &topic)> versionsOf = [](const std::string &) { return std::nullopt; };
+        /// Called after a copy of the topic was merged, with what the peer knows and whether records were passed over.
+        std::function<void(const std::string &topic, const std::optional<stream_digest> &versions, bool hasPassedOver)> onMerged =
+            [](const std::string &, const std::optional<stream_digest> &, bool) {};
+    };
+
     /// The followers must outlive this object.
-    peer_records(event_loop &loop, event_log &log, const peer_records_options &options, std::vector<log_follower *> followers);
+    peer_records(event_loop &loop, event_log &log, const peer_records_options &options, std::vector<log_follower *> followers, hooks callbacks);
     peer_records(const peer_records &) = delete;
     peer_records &operator=(const peer_records &) = delete;
 
@@ -65,7 +83,23 @@
     /// called instead, each readerPeriod.
     void fetchIfDue(const std::vector<socket_address> &peers, const std::vector<socket_address> &readers);
 
+    /// Has one of the peers read the topic from the log and merges its records, in a call that begins after this one; reports whether that
+    /// succeeded. Demands that come while a call is in progress share the next one.
+    void fetchFresh(log_follower &follower, const std::vector<socket_address> &peers, std::function<void(bool isRead)> onRead);
+
 private:
+    /// Fresh copies of one topic.
+    struct fresh_state
+    {
+        std::unique_ptr<bounded_client> client;
+        /// Demands for which a call has to begin, and those that the one in progress serves.
+        std::vector<std::function<void(bool)>> demands;
+        std::vector<std::function<void(bool)>> served;
+        std::vector<socket_address> peers;
+        int attempts = 0;
+        time_point calledAt;
+    };
+
     struct topic_state
     {
         time_point aheadSince;
@@ -75,6 +109,13 @@
     };
 
     void serve(const std::shared_ptr<caller_connection> &caller, const received_request &request);
+    /// isUpToDate: whether the caller knows the records.
+    void answer(caller_connection &caller, const log_follower &follower, bool isUpToDate, bool isFresh) const;
+    /// Merges what a peer has answered to a call that was made `sinceCall` before. Throws shunt_error if that is of no use.
+    void merge(log_follower &follower, const peer_snapshot &received, duration sinceCall);
+    void beginFresh(log_follower &follower, fresh_state &state);
+    void tryNextPeer(log_follower &follower, fresh_state &state);
+    void endFresh(log_follower &follower, fresh_state &state, bool isRead);
     void fetch(log_follower &follower, topic_state &state, const socket_address &peer);
     [[nodiscard]] bool isDue(const log_follower &follower, const topic_state &state, bool hasReaders) const;
 
@@ -82,8 +123,10 @@
     event_log &m_log;
     peer_records_options m_options;
     std::vector<log_follower *> m_followers;
+    hooks m_hooks;
     std::map<std::string, topic_state> m_topics;
-    std::shared_ptr<const caller_hooks> m_hooks;
+    std::map<std::string, fresh_state> m_fresh;
+    std::shared_ptr<const caller_hooks> m_callerHooks;
     caller_set m_callers;
     std::unique_ptr<channel_listener> m_listener;
     std::size_t m_nextPeer = 0;
--- a/src/gateway/request_admission.cpp
+++ b/src/gateway/request_admission.cpp
@@ -25,6 +25,7 @@
     if (!isResumption(matchedRoute, metadata)) {
         return;
     }
+    admitted.needsListReading = streams.needsReading(metadata.resumedAttempt, admitted.service, now);
     admitted.origin = streams.originOf(metadata.resumedAttempt, admitted.service, now);
     if (!admitted.origin) {
         admitted.error = error_kind::stream_origin_unknown;
--- a/src/gateway/request_admission.h
+++ b/src/gateway/request_admission.h
@@ -29,6 +29,8 @@
     std::string service;
     /// Streams that go on: where they began.
     std::optional<stream_origin> origin;
+    /// Whether that, or that it is not known, holds only for the list as it was last read; see stream_versions::needsReading().
+    bool needsListReading = false;
     /// Why the request is refused, if it is.
     std::optional<error_kind> error;
 };
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -66,6 +66,7 @@
     m_workspace = admitted.workspace;
     m_service = admitted.service;
     m_origin = admitted.origin;
+    m_needsListReading = admitted.needsListReading;
     if (!admitted.error) {
         m_placementRequest = placementRequestOf(*m_table, admitted, m_metadata);
     }
@@ -91,6 +92,46 @@
         refuse(*error, defaultRetryAfter);
         return;
     }
+    if (m_needsListReading) {
+        readListFirst();
+    } else {
+        begin();
+    }
+}
+
+void request_session::readListFirst()
+{
+    m_isReadingList = true;
+    m_timer = m_context.loop.schedule(m_arrival + maxFirstByteWaitOf(timeLimitOf(*m_route, m_metadata)), [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->onListRead(false);
+        }
+    });
+    m_context.readList([self = shared_from_this()](bool isRead) { self->onListRead(isRead); });
+}
+
+void request_session::onListRead(bool isRead)
+{
+    if (m_isFinished || !std::exchange(m_isReadingList, false)) {
+        return;
+    }
+    m_context.loop.cancel(m_timer);
+    const auto error = isRead ? admit() : std::optional(error_kind::stream_origin_unknown);
+    m_context.log.write(event_number::list_read_for_stream,
+                        {{"request", m_metadata.attemptId},
+                         {"resumes", m_metadata.resumedAttempt},
+                         {"read", isRead ? "yes" : "no"},
+                         {"software", m_origin && !error ? m_origin->softwareVersion : "-"},
+                         {"ms", milliseconds(m_context.loop.now() - m_arrival)}});
+    if (error) {
+        refuse(*error, defaultRetryAfter);
+    } else {
+        begin();
+    }
+}
+
+void request_session::begin()
+{
     m_deadline = m_arrival + timeLimitOf(*m_route, m_metadata);
     m_timer = m_context.loop.schedule(m_deadline + deadlineGrace, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -34,6 +34,11 @@
 private:
     /// Routes and authenticates the request. Returns the error to refuse it with, if any.
     [[nodiscard]] std::optional<error_kind> admit();
+    /// Has the list of endpoints read before a stream is taken up whose origin follows from the list alone.
+    void readListFirst();
+    void onListRead(bool isRead);
+    /// Sends the admitted request, or queues it.
+    void begin();
     /// Binds the stream to the software version that wrote its first event.
     void noteStreamBegun();
     void dispatch();
@@ -166,6 +171,9 @@
 
     /// Resumable streams: where the first event was written, once it has been.
     std::optional<stream_origin> m_origin;
+    /// Whether m_origin holds only for the list as it was last read.
+    bool m_needsListReading = false;
+    bool m_isReadingList = false;
     std::optional<std::int64_t> m_resumeAfter;
 };
 
--- a/src/membership/topic_records.cpp
+++ b/src/membership/topic_records.cpp
@@ -1,5 +1,7 @@
 #include "membership/topic_records.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace wisteriashunt
@@ -60,7 +62,9 @@
             moveTo(after);
         }
     }
-    return read_step::read_on;
+    // An answer is limited in size and may hold a part of the records only.
+    const bool isPart = !page.records.empty() && page.records.back().offset + 1 < page.end;
+    return isPart ? read_step::next_page : read_step::read_on;
 }
 
 read_step topic_records::onNewestPage(const log_read &read, const keyed_page &page)
@@ -68,10 +72,13 @@
     if (read.afterKey.empty()) {
         m_listed.clear();
         m_firstPageEnd = page.end;
+        m_knownBeforePages = m_knownUpTo;
+        m_newOnPages = 0;
     } else if (read.from.epoch != m_epoch) {
         // The pages before were those of another epoch.
         return read_step::read_new_epoch;
     }
+    m_newOnPages += countNew(page.records, m_firstPageEnd);
     for (const auto &record : page.records) {
         m_listed.insert(record.key);
         applyAt(record, m_epoch);
@@ -82,13 +89,32 @@
     }
     m_pageKey.clear();
     const log_position end{.epoch = m_epoch, .offset = m_firstPageEnd};
-    removeUnlisted(m_listed, end);
+    const auto removed = removeUnlisted(m_listed, end);
     if (!m_next || *m_next < end) {
-        moveTo(end);
+        jump(m_knownBeforePages, end, m_newOnPages + removed);
     }
     return read_step::read_on;
 }
 
+std::int64_t topic_records::countNew(const std::vector<keyed_record> &records, std::int64_t end) const
+{
+    const auto isNew = [&](const keyed_record &record) { return record.offset >= m_knownUpTo.offset && record.offset < end; };
+    return std::count_if(records.begin(), records.end(), isNew);
+}
+
+void topic_records::jump(const log_position &from, const log_position &to, std::int64_t seen)
+{
+    const bool isFirst = m_knownUpTo.offset < 0;
+    const bool isWhole = from == m_knownUpTo && from.epoch == to.epoch && to.offset - from.offset == seen;
+    m_hasPassedOver = m_hasPassedOver || (!isFirst && !isWhole);
+    moveTo(to);
+}
+
+bool topic_records::takePassedOver()
+{
+    return std::exchange(m_hasPassedOver, false);
+}
+
 void topic_records::moveTo(const log_position &position)
 {
     m_next = position;
@@ -140,8 +166,12 @@
     if (!isAhead) {
         return false;
     }
-    removeUnlisted(listed, snapshot.position());
-    moveTo(snapshot.position());
+    const auto removed = removeUnlisted(listed, snapshot.position());
+    std::vector<keyed_record> ofEpoch;
+    std::copy_if(snapshot.records.begin(), snapshot.records.end(), std::back_inserter(ofEpoch), [&](const keyed_record &record) {
+        return record.epoch == snapshot.epoch;
+    });
+    jump(m_knownUpTo, snapshot.position(), countNew(ofEpoch, snapshot.next) + removed);
     return true;
 }
 
@@ -189,7 +219,7 @@
     m_onChange(record);
 }
 
-void topic_records::removeUnlisted(const std::set<std::string> &listed, const log_position &end)
+std::int64_t topic_records::removeUnlisted(const std::set<std::string> &listed, const log_position &end)
 {
     std::vector<std::string> missing;
     for (const auto &[key, record] : m_records) {
@@ -197,6 +227,7 @@
             missing.push_back(key);
         }
     }
+    std::int64_t removed = 0;
     for (const auto &key : missing) {
         const bool isLost = m_records.at(key).epoch < end.epoch;
         if (isLost && m_rules.keepsLostRecords) {
@@ -209,7 +240,9 @@
             ++m_change->removed;
         }
         apply({.key = key, .offset = end.offset, .epoch = end.epoch});
+        ++removed;
     }
+    return removed;
 }
 
 } // namespace wisteriashunt
--- a/src/membership/topic_records.h
+++ b/src/membership/topic_records.h
@@ -80,6 +80,9 @@
     [[nodiscard]] bool hasNewEpoch() const;
     /// Returns once, after the first complete reading or merge of a higher epoch, what it changed.
     std::optional<epoch_change> takeChange();
+    /// Returns once whether records were passed over since the last call: only the newest record of each key was read or merged, and there
+    /// were others in between, or the log has returned from a copy. The first reading passes over nothing.
+    [[nodiscard]] bool takePassedOver();
 
     /// Place from which to read on; nothing if the newest records must be read first.
     [[nodiscard]] std::optional<log_position> next() const;
@@ -96,10 +99,16 @@
 private:
     read_step onNewestPage(const log_read &read, const keyed_page &page);
     void moveTo(const log_position &position);
+    /// Moves from the known position to one up to which only the newest records are known. `seen` is the number of those in between that were
+    /// seen or that removed a known key.
+    void jump(const log_position &from, const log_position &to, std::int64_t seen);
+    /// Returns the number of records from the known position on and before the end. All must be of the end's epoch.
+    [[nodiscard]] std::int64_t countNew(const std::vector<keyed_record> &records, std::int64_t end) const;
     void applyAt(keyed_record record, std::int64_t epoch);
     void apply(const keyed_record &record);
     [[nodiscard]] bool supersedes(const keyed_record &candidate, const keyed_record &known) const;
-    void removeUnlisted(const std::set<std::string> &listed, const log_position &end);
+    /// Returns the number of keys that were removed.
+    std::int64_t removeUnlisted(const std::set<std::string> &listed, const log_position &end);
 
     topic_rules m_rules;
     change_hook m_onChange;
@@ -113,6 +122,10 @@
     std::set<std::string> m_listed;
     std::string m_pageKey;
     std::int64_t m_firstPageEnd = 0;
+    /// The known position before the first of these pages, and the number of their records from there on.
+    log_position m_knownBeforePages;
+    std::int64_t m_newOnPages = 0;
+    bool m_hasPassedOver = false;
     /// What has changed since a higher epoch was noted.
     std::optional<epoch_change> m_change;
 };
--- a/test/log_follower_test.cpp
+++ b/test/log_follower_test.cpp
@@ -55,6 +55,17 @@
          .onComplete = [this] { ++m_completions; }}};
 };
 
+TEST_F(log_follower_test, ReportsASnapshotThatPassesOverRecords)
+{
+    EXPECT_FALSE(m_follower.merge({.next = 3, .records = {record("a", "1", 1), record("b", "1", 2)}})) << "the first one";
+    EXPECT_FALSE(m_follower.merge({.next = 4, .records = {record("a", "1", 1), record("b", "2", 3)}}));
+    EXPECT_FALSE(m_follower.merge({.next = 5, .records = {record("a", "1", 1)}})) << "b was removed";
+    EXPECT_FALSE(m_follower.merge({.next = 5, .records = {record("a", "1", 1)}}));
+    EXPECT_TRUE(m_follower.merge({.next = 7, .records = {record("a", "1", 1)}})) << "a key came and was removed";
+    EXPECT_TRUE(m_follower.merge({.next = 9, .records = {record("a", "3", 8)}})) << "a had another value in between";
+    EXPECT_TRUE(m_follower.merge({.next = 10, .records = {record("a", "3", 8)}, .epoch = 1})) << "of another epoch";
+}
+
 TEST_F(log_follower_test, AppliesAnotherEntrysSnapshot)
 {
     m_follower.merge({.next = 8, .records = {record("a", "1", 3), record("b", "2", 7)}});
--- a/test/stream_take_ups_test.cpp
+++ b/test/stream_take_ups_test.cpp
@@ -53,7 +53,24 @@
         streams.observeVersions(now);
     }
 
-    [[nodiscard]] std::optional<std::string> origin(const std::string &attempt, time_point now)
+    /// Returns the version at which an attempt goes on, for which the list may have to be read first.
+    [[nodiscard]] std::optional<std::string> origin(const std::string &attempt, const std::set<std::string> &listed, time_point now)
+    {
+        if (needsReading(attempt, now)) {
+            if (!isReading) {
+                return std::nullopt;
+            }
+            read(listed, now);
+        }
+        return originWithoutReading(attempt, now);
+    }
+
+    [[nodiscard]] bool needsReading(const std::string &attempt, time_point now)
+    {
+        return streams.needsReading(attempt, "model", now);
+    }
+
+    [[nodiscard]] std::optional<std::string> originWithoutReading(const std::string &attempt, time_point now)
     {
         const auto found = streams.originOf(attempt, "model", now);
         return found ? std::optional(found->softwareVersion) : std::nullopt;
@@ -86,7 +103,7 @@
     passTime(seconds(40), {&entry});
     m_listed = {"v2"};
     passTime(seconds(1), {&entry});
-    EXPECT_EQ(entry.origin("unknown", m_now), std::nullopt);
+    EXPECT_EQ(entry.origin("unknown", m_listed, m_now), std::nullopt);
 }
 
 TEST_F(stream_take_ups_test, AVersionAtWhichAPeersStreamBeganCountsAlsoIfTheListDoesNotShowItYet)
@@ -95,14 +112,15 @@
     passTime(seconds(40), {&behind});
     behind.isReading = false;
     passTime(seconds(1), {&behind});
-    EXPECT_EQ(behind.origin("unknown", m_now), "v1");
+    EXPECT_TRUE(behind.needsReading("unknown", m_now));
+    EXPECT_EQ(behind.originWithoutReading("unknown", m_now), "v1");
     take_up_entry restarted;
     m_listed = {"v1", "v2"};
     passTime(tick, {&restarted, &behind});
     restarted.streams.onBegun("told", {"model", "v2"}, seconds(5), m_now);
     behind.streams.onPeerDigest(restarted.streams.digest(m_now), m_now);
-    EXPECT_EQ(behind.origin("told", m_now), "v2");
-    EXPECT_EQ(behind.origin("lost", m_now), std::nullopt);
+    EXPECT_EQ(behind.origin("told", m_listed, m_now), "v2");
+    EXPECT_EQ(behind.originWithoutReading("lost", m_now), std::nullopt);
 }
 
 TEST_F(stream_take_ups_test, APeerThatHasJustStartedTellsOfTheVersionsThatItSees)
@@ -114,7 +132,85 @@
     m_listed = {"v1", "v2"};
     passTime(tick, {&restarted, &behind});
     behind.streams.onPeerDigest(restarted.streams.digest(m_now), m_now);
-    EXPECT_EQ(behind.origin("lost", m_now), std::nullopt);
+    EXPECT_EQ(behind.originWithoutReading("lost", m_now), std::nullopt);
+}
+
+// The list of an entry that is out of step may lack a version that streams have begun at, however short the time.
+TEST_F(stream_take_ups_test, AnEntryThatIsOutOfStepAsksForTheListHoweverShortlyItIs)
+{
+    for (const milliseconds time : {tick, milliseconds(500), milliseconds(1000), milliseconds(2000), milliseconds(4000), milliseconds(4900)}) {
+        take_up_entry entry;
+        m_listed = {"v1"};
+        passTime(seconds(40), {&entry});
+        entry.isReading = false;
+        passTime(time, {&entry});
+        m_listed = {"v1", "v2"};
+        EXPECT_TRUE(entry.needsReading("unknown", m_now)) << time.count();
+        EXPECT_EQ(entry.origin("unknown", m_listed, m_now), std::nullopt) << time.count();
+        entry.isReading = true;
+        EXPECT_EQ(entry.origin("unknown", m_listed, m_now), std::nullopt) << time.count();
+    }
+}
+
+TEST_F(stream_take_ups_test, AVersionThatCameAndLeftBetweenTwoReadingsCounts)
+{
+    take_up_entry entry;
+    passTime(seconds(40), {&entry});
+    EXPECT_EQ(entry.origin("unknown", m_listed, m_now), "v1");
+    entry.streams.onListed({"model", "v2"}, m_now);
+    EXPECT_EQ(entry.origin("unknown", m_listed, m_now), std::nullopt);
+    passTime(seconds(31), {&entry});
+    EXPECT_EQ(entry.origin("unknown", m_listed, m_now), "v1");
+}
+
+TEST_F(stream_take_ups_test, AListWithoutTheRecordsInBetweenDoesNotShowThatOneVersionServedAlone)
+{
+    take_up_entry entry;
+    passTime(seconds(40), {&entry});
+    entry.streams.onPassedOver(std::nullopt, m_now);
+    EXPECT_EQ(entry.origin("unknown", m_listed, m_now), std::nullopt);
+    passTime(seconds(31), {&entry});
+    EXPECT_EQ(entry.origin("unknown", m_listed, m_now), "v1");
+}
+
+TEST_F(stream_take_ups_test, APeerThatSawTheRecordsInBetweenFillsTheGap)
+{
+    take_up_entry entry;
+    take_up_entry peer;
+    passTime(seconds(40), {&entry, &peer});
+    entry.isReading = false;
+    passTime(seconds(2), {&entry, &peer});
+    entry.isReading = true;
+    entry.streams.onPassedOver(peer.streams.knowledge(m_now), m_now);
+    EXPECT_EQ(entry.origin("unknown", m_listed, m_now), "v1");
+    peer.streams.onListed({"model", "v2"}, m_now);
+    entry.streams.onPassedOver(peer.streams.knowledge(m_now), m_now);
+    EXPECT_EQ(entry.origin("unknown", m_listed, m_now), std::nullopt) << "only the peer saw it";
+}
+
+TEST_F(stream_take_ups_test, APeerThatKnowsLessDoesNotFillTheGap)
+{
+    take_up_entry entry;
+    passTime(seconds(40), {&entry});
+    entry.isReading = false;
+    passTime(seconds(2), {&entry});
+    take_up_entry restarted;
+    passTime(seconds(1), {&entry, &restarted});
+    entry.isReading = true;
+    entry.streams.onPassedOver(restarted.streams.knowledge(m_now), m_now);
+    EXPECT_EQ(entry.origin("unknown", m_listed, m_now), std::nullopt);
+}
+
+TEST_F(stream_take_ups_test, APeerWhoseListEndsBeforeTheOwnOneBeginsProvesNothing)
+{
+    take_up_entry cutOff;
+    passTime(seconds(40), {&cutOff});
+    cutOff.isReading = false;
+    passTime(seconds(2), {&cutOff});
+    take_up_entry restarted;
+    passTime(seconds(1), {&cutOff, &restarted});
+    restarted.streams.onPeerDigest(cutOff.streams.digest(m_now), m_now);
+    EXPECT_EQ(restarted.origin("unknown", m_listed, m_now), std::nullopt) << "v2 may have come and left after the list of the other ends";
 }
 
 TEST_F(stream_take_ups_test, AnEntryWhoseListIsOldDoesNotAssumeThatOneVersionServesAlone)
@@ -123,12 +219,12 @@
     passTime(seconds(40), {&entry});
     entry.isReading = false;
     passTime(seconds(6), {&entry});
-    EXPECT_EQ(entry.origin("unknown", m_now), std::nullopt);
+    EXPECT_EQ(entry.origin("unknown", m_listed, m_now), std::nullopt);
     entry.isReading = true;
     passTime(seconds(1), {&entry});
-    EXPECT_EQ(entry.origin("unknown", m_now), std::nullopt) << "another version may have come and left";
+    EXPECT_EQ(entry.origin("unknown", m_listed, m_now), std::nullopt) << "another version may have come and left";
     passTime(seconds(31), {&entry});
-    EXPECT_EQ(entry.origin("unknown", m_now), "v1");
+    EXPECT_EQ(entry.origin("unknown", m_listed, m_now), "v1");
 }
 
 TEST_F(stream_take_ups_test, AnEntryThatWasSuspendedDoesNotAssumeThatItSawAllVersions)
@@ -137,9 +233,9 @@
     passTime(seconds(40), {&entry});
     m_now += seconds(31);
     m_listed = {"v2"};
-    EXPECT_EQ(entry.origin("unknown", m_now), std::nullopt) << "before it has read the list";
+    EXPECT_EQ(entry.origin("unknown", m_listed, m_now), std::nullopt) << "before it has read the list";
     passTime(seconds(1), {&entry});
-    EXPECT_EQ(entry.origin("unknown", m_now), std::nullopt);
+    EXPECT_EQ(entry.origin("unknown", m_listed, m_now), std::nullopt);
 }
 
 TEST_F(stream_take_ups_test, MessagesFromBeforeASuspensionProveNothing)
@@ -153,7 +249,7 @@
     entry.read(m_listed, m_now);
     entry.streams.onPeerDigest(sentBefore, m_now);
     passTime(seconds(2), {&entry});
-    EXPECT_EQ(entry.origin("unknown", m_now), std::nullopt);
+    EXPECT_EQ(entry.origin("unknown", m_listed, m_now), std::nullopt);
 }
 
 TEST_F(stream_take_ups_test, ARestartedEntryKnowsWhatAPeerOfAPeerKnew)
@@ -166,7 +262,7 @@
     take_up_entry third;
     passTime(seconds(1), {&second, &third});
     third.streams.onPeerDigest(second.streams.digest(m_now), m_now);
-    EXPECT_EQ(third.origin("unknown", m_now), "v1");
+    EXPECT_EQ(third.origin("unknown", m_listed, m_now), "v1");
 }
 
 TEST_F(stream_take_ups_test, RestartedEntriesDoNotConfirmEachOther)
@@ -179,15 +275,15 @@
     for (int round = 0; round < 3; ++round) {
         third.streams.onPeerDigest(second.streams.digest(m_now), m_now);
         second.streams.onPeerDigest(third.streams.digest(m_now), m_now);
-        EXPECT_EQ(second.origin("unknown", m_now), std::nullopt) << "v1 may have left before both started";
-        EXPECT_EQ(third.origin("unknown", m_now), std::nullopt);
+        EXPECT_EQ(second.origin("unknown", m_listed, m_now), std::nullopt) << "v1 may have left before both started";
+        EXPECT_EQ(third.origin("unknown", m_listed, m_now), std::nullopt);
     }
     passTime(seconds(27), {&second, &third});
-    EXPECT_EQ(second.origin("unknown", m_now), std::nullopt);
+    EXPECT_EQ(second.origin("unknown", m_listed, m_now), std::nullopt);
     passTime(seconds(1) + 2 * tick, {&second, &third});
-    EXPECT_EQ(second.origin("unknown", m_now), "v2") << "30 s after its start";
+    EXPECT_EQ(second.origin("unknown", m_listed, m_now), "v2") << "30 s after its start";
     third.streams.onPeerDigest(second.streams.digest(m_now), m_now);
-    EXPECT_EQ(third.origin("unknown", m_now), "v2") << "as long as the oldest";
+    EXPECT_EQ(third.origin("unknown", m_listed, m_now), "v2") << "as long as the oldest";
 }
 
 /// Four entries of which any are killed, suspended or cut off from the list while versions come and leave.
@@ -351,7 +447,7 @@
         const auto &taken = m_begun[m_random() % m_begun.size()];
         for (auto &each : m_members) {
             if (!isAway(each)) {
-                const auto origin = each.entry->origin(taken.attempt, m_now);
+                const auto origin = each.entry->origin(taken.attempt, m_listed, m_now);
                 m_wrong += origin && *origin != taken.version ? 1 : 0;
             }
         }
--- a/test/stream_version_test.cpp
+++ b/test/stream_version_test.cpp
@@ -1,4 +1,5 @@
 // Tests that streams go on only at endpoints of the software version that began them, with entries on real sockets.
+#include "fault_proxy.h"
 #include "gateway_fixture.h"
 
 #include <atomic>
@@ -304,6 +305,68 @@
     }
 }
 
+/// An entry whose link to the log can be cut, and one that always reads it.
+class cut_off_entry_test : public stream_version_test
+{
+protected:
+    void SetUp() override
+    {
+        addEndpoint("v1");
+        m_breaksResumed = true;
+    }
+
+    /// Starts both, and waits until they know that one version has served alone.
+    void launchBoth(bool haveLink)
+    {
+        launch(settingsForTests(m_ports, m_logLink.port()));
+        launch(settingsForTests(m_other, m_log.port(), haveLink ? std::vector{m_ports.control} : std::vector<std::uint16_t>{}));
+        waitUntilReady(m_ports.readiness);
+        waitUntilReady(m_other.readiness);
+        waitForDigests();
+    }
+
+    fault_proxy m_logLink{m_log.port()};
+};
+
+// An entry that is cut off for a moment took streams of a version that it had not heard of for those of the one that it knew.
+TEST_F(cut_off_entry_test, DoesNotTakeUpAStreamOfAVersionThatWasListedMeanwhile)
+{
+    launchBoth(false);
+    m_logLink.set(link_state::silent);
+    addEndpoint("v2");
+    m_log.dropEndpoint(idOf(0));
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    const auto first = begin(m_other, "a1");
+    ASSERT_EQ(versionsIn(first), std::set<std::string>{"v2"}) << first;
+    m_breaksResumed = false;
+    const auto second = resume(m_ports, "b1", "a1", lastEventIn(first));
+    EXPECT_EQ(statusOf(second), 503) << second;
+    m_logLink.set(link_state::up);
+    const auto third = resume(m_ports, "c1", "a1", lastEventIn(first));
+    EXPECT_EQ(versionsIn(first + third).size(), 1U) << first << third;
+}
+
+TEST_F(cut_off_entry_test, ReadsTheListBeforeItTakesUpAStreamThatItDoesNotKnow)
+{
+    launchBoth(false);
+    const auto first = begin(m_other, "a1");
+    ASSERT_EQ(versionsIn(first), std::set<std::string>{"v1"}) << first;
+    m_breaksResumed = false;
+    EXPECT_TRUE(isWhole(resume(m_ports, "b1", "a1", lastEventIn(first))));
+    addEndpoint("v2");
+    const auto third = resume(m_ports, "c1", "a1", lastEventIn(first));
+    EXPECT_EQ(statusOf(third), 503) << "a version has come that has not been read before: " << third;
+}
+
+TEST_F(cut_off_entry_test, HasAPeerReadTheListIfTheLogDoesNotAnswer)
+{
+    launchBoth(true);
+    m_logLink.set(link_state::reset);
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    m_breaksResumed = false;
+    EXPECT_TRUE(isWhole(resume(m_ports, "b1", "unknown", 2)));
+}
+
 TEST_F(stream_version_test, AStreamThatBrokeBeforeItsFirstEventMayBeginAtAnyVersion)
 {
     m_endpoints.push_back(std::make_unique<loopback_server>(
