Values in log lines are bounded and stay on their line

Operators saw: a record of another writer could write lines of its own into the log, by line ends in its key or texts, and lines of any length, since the reasons of refused records quote them.

Change: control characters in values are shown as '?', and a value ends after 2 kB.

--- a/src/gateway/event_log.cpp
+++ b/src/gateway/event_log.cpp
@@ -1,11 +1,31 @@
 #include "gateway/event_log.h"
 
 #include <fcntl.h>
+#include <string_view>
 #include <unistd.h>
 
 namespace wisteriashunt
 {
 
+namespace
+{
+
+/// Most bytes of one value in a line. Values may contain what others have sent.
+constexpr std::size_t maxValueBytes = 2048;
+
+/// Appends a value so that the line stays one line.
+void appendValue(std::string &line, std::string_view value)
+{
+    const bool isCut = value.size() > maxValueBytes;
+    for (const char c : value.substr(0, maxValueBytes)) {
+        const auto byte = static_cast<unsigned char>(c);
+        line.push_back(byte < 0x20 || byte == 0x7f ? '?' : c);
+    }
+    line.append(isCut ? "..." : "");
+}
+
+} // namespace
+
 std::string milliseconds(duration value)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
@@ -37,7 +57,8 @@
     m_buffer.append(std::to_string(milliseconds / millisecondsInSecond)).append(fraction);
     m_buffer.append(" event=").append(std::to_string(static_cast<int>(event))).append(" name=").append(toString(event));
     for (const auto &field : fields) {
-        m_buffer.append(1, ' ').append(field.key).append(1, '=').append(field.value);
+        m_buffer.append(1, ' ').append(field.key).append(1, '=');
+        appendValue(m_buffer, field.value);
     }
     m_buffer.append(1, '\n');
 }
