The place in the log decides which of two records of an endpoint is newer

Callers saw: an engine whose key another writer had used once, with a start far in the future or a large sequence, got no requests any more: its own later records counted as outdated.

Cause: the roster orders records by what they contain, also within an epoch of the log, where their places order them.

Change: the roster takes a record's place, and compares contents only across epochs, as topic_records does.

Open: after the log has returned from a copy, contents decide again, and an odd record from before wins.

--- a/src/membership/endpoint_roster.cpp
+++ b/src/membership/endpoint_roster.cpp
@@ -61,12 +61,15 @@
     return m_failureShare > options.failingThreshold;
 }
 
-bool endpoint_roster::isOutdated(const endpoint_record &record) const
+bool endpoint_roster::isOutdated(const endpoint_record &record, const std::optional<log_position> &place) const
 {
     const auto last = m_lastRecords.find(record.id);
     if (last == m_lastRecords.end()) {
         return false;
     }
+    if (place && last->second.place && place->epoch == last->second.place->epoch) {
+        return place->offset <= last->second.place->offset;
+    }
     return std::pair(record.startedAtMilliseconds, record.sequence) <= std::pair(last->second.startedAtMilliseconds, last->second.sequence);
 }
 
@@ -89,12 +92,12 @@
     }
 }
 
-bool endpoint_roster::apply(const endpoint_record &record)
+bool endpoint_roster::apply(const endpoint_record &record, const std::optional<log_position> &place)
 {
-    if (isOutdated(record)) {
+    if (isOutdated(record, place)) {
         return false;
     }
-    m_lastRecords[record.id] = {.startedAtMilliseconds = record.startedAtMilliseconds, .sequence = record.sequence};
+    m_lastRecords[record.id] = {.startedAtMilliseconds = record.startedAtMilliseconds, .sequence = record.sequence, .place = place};
     evictOldestRemovedRecord(record.id);
     const auto position = m_endpoints.find(record.id);
     if (position != m_endpoints.end()) {
--- a/src/membership/endpoint_roster.h
+++ b/src/membership/endpoint_roster.h
@@ -2,12 +2,14 @@
 #pragma once
 
 #include "membership/endpoint_notices.h"
+#include "membership/keyed_record.h"
 #include "net/byte_channel.h"
 #include "wisteriashunt/time.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -110,8 +112,9 @@
 {
 public:
     /// Applies a record of the list. A new incarnation replaces the old one and starts with fresh health. Returns true if anything but the
-    /// sequence changed; outdated records are ignored.
-    bool apply(const endpoint_record &record);
+    /// sequence changed; outdated records are ignored. Of two records of one epoch of the log, that with the later place is newer, whatever
+    /// they contain; otherwise their contents decide.
+    bool apply(const endpoint_record &record, const std::optional<log_position> &place = std::nullopt);
 
     /// Removes an endpoint that the list no longer contains. Returns false if it was unknown.
     bool remove(const std::string &id);
@@ -152,16 +155,17 @@
 
 private:
     void unlink(const endpoint_pointer &endpoint);
-    [[nodiscard]] bool isOutdated(const endpoint_record &record) const;
+    [[nodiscard]] bool isOutdated(const endpoint_record &record, const std::optional<log_position> &place) const;
 
     /// Copies what is known of the incarnation to the endpoint.
     void takeNotice(listed_endpoint &endpoint) const;
 
-    /// Start time and last sequence of an incarnation. Used to recognize records that arrive after a newer one.
+    /// Start time and last sequence of an incarnation, and the place of that record. Used to recognize records that arrive after a newer one.
     struct last_record
     {
         std::int64_t startedAtMilliseconds = 0;
         std::int64_t sequence = 0;
+        std::optional<log_position> place;
     };
 
     /// Limits the number of tracked records of removed endpoints by evicting the oldest.
