--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -486,6 +486,10 @@
 
 void gateway::onEndpointRecord(const keyed_record &record, record_timing timing)
 {
+    if (record.key.empty()) {
+        m_log.write(event_number::record_unusable, {{"key", "-"}, {"reason", "a record without a key at " + std::to_string(record.offset)}});
+        return;
+    }
     if (!record.value) {
         const auto hold = removalHold(timing, m_options.settings.maxDrainDelay);
         if (hold == duration{} || m_roster.find(record.key) == nullptr) {
@@ -499,7 +503,7 @@
         const auto endpoint = m_options.decoders.endpoint(record.key, *record.value);
         m_streams.onListed({.service = endpoint.service, .softwareVersion = endpoint.softwareVersion}, m_loop.now());
         m_pendingRemovals.erase(record.key);
-        if (m_roster.apply(endpoint)) {
+        if (m_roster.apply(endpoint, record.position())) {
             m_log.write(event_number::endpoint_listed,
                         {{"endpoint", endpoint.id},
                          {"service", endpoint.service},
