A refusal that an endpoint writes once more proves nothing

Callers saw: 503 or 429 ("not run, try again") for requests that the engine ran, when it wrote an earlier refusal once more on a kept connection.

Cause: an answer counts as the attempt's own by its ID. When the same attempt comes again and goes out on the connection on which it was refused, a copy of that refusal bears the right ID. Without an ID, an answer counted on a connection's first exchange also behind one that was skipped there. A copy of another attempt's refusal also asked for its pause again.

Change: a connection knows the attempts that were refused on it, and the pool does not give it to one of these again, so that the copy meets a connection without that request. Answers without an ID do not count once the connection has carried another, skipped ones included. Whether bytes follow an answer is known before the exchange ends, and such a connection is not used again. A pause in an answer to another attempt does not count; that an endpoint leaves does.

--- a/src/gateway/endpoint_pool.cpp
+++ b/src/gateway/endpoint_pool.cpp
@@ -16,13 +16,17 @@
     return idle > (announced > duration{} ? announced - m_options.idleMargin : m_options.idleLimit);
 }
 
-std::shared_ptr<upstream_connection> endpoint_pool::acquire(const endpoint_pointer &endpoint)
+std::shared_ptr<upstream_connection> endpoint_pool::acquire(const endpoint_pointer &endpoint, std::uint64_t requestKey)
 {
     auto &idle = m_idle[endpoint.get()];
-    while (!idle.empty()) {
-        const auto connection = idle.back();
-        idle.pop_back();
-        if (connection->isIdle() && !isExpired(*connection)) {
+    for (auto at = idle.size(); at-- > 0;) {
+        const auto connection = idle[at];
+        const bool isUsable = connection->isIdle() && !isExpired(*connection);
+        if (isUsable && connection->hasRefused(requestKey)) {
+            continue;
+        }
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
+        if (isUsable) {
             return connection;
         }
         connection->close();
--- a/src/gateway/endpoint_pool.h
+++ b/src/gateway/endpoint_pool.h
@@ -28,8 +28,9 @@
 public:
     endpoint_pool(event_loop &loop, const pool_options &options);
 
-    /// Returns an idle connection to the endpoint, or opens a new one.
-    [[nodiscard]] std::shared_ptr<upstream_connection> acquire(const endpoint_pointer &endpoint);
+    /// Returns an idle connection to the endpoint, or opens a new one. Connections on which the endpoint has refused the request before are left
+    /// out; see upstream_connection::noteRefused().
+    [[nodiscard]] std::shared_ptr<upstream_connection> acquire(const endpoint_pointer &endpoint, std::uint64_t requestKey);
 
     /// Returns a connection to the pool after its exchange. Closes it if it is not idle or the endpoint is gone.
     void release(const endpoint_pointer &endpoint, std::shared_ptr<upstream_connection> connection);
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -25,10 +25,15 @@
 bool request_session::onHead(upstream_attempt &run, http_response_head &head)
 {
     const auto metadata = m_context.dialect.readResponse(head.status, head.headers);
-    // Without an ID, an answer on a connection that was used before may be a late copy of an earlier one.
-    const bool isForOtherAttempt = metadata.attemptId.empty() ? run.exchange->isReused() : metadata.attemptId != m_metadata.attemptId;
+    // Without an ID, an answer on a connection that has carried others may be a late copy of one of them.
+    const bool isForOtherAttempt = metadata.attemptId.empty() ? run.exchange->mayCarryCopies() : metadata.attemptId != m_metadata.attemptId;
     const bool isUnverifiedSuccess = isSuccess(head.status) && (metadata.attemptId.empty() || !metadata.isSigned);
-    if (!isUnverifiedSuccess) {
+    if (isForOtherAttempt && !isUnverifiedSuccess) {
+        // A pause is counted from when it is asked for, which was earlier. That an endpoint leaves stays true.
+        auto lasting = metadata;
+        lasting.pause.reset();
+        noteNotices(run, lasting);
+    } else if (!isUnverifiedSuccess) {
         noteNotices(run, metadata);
     }
     if (isForOtherAttempt || isUnverifiedSuccess) {
@@ -181,6 +186,9 @@
     if (!didNotRun && !run.hasFirstByte) {
         noteRunBegun(run);
     }
+    if (didNotRun) {
+        run.exchange->noteRefused(requestKey());
+    }
     const bool isServerError = run.head.status >= firstServerError;
     m_mayHaveRun = m_mayHaveRun || !didNotRun;
     if (!didNotRun && (run.hasFirstByte || !isStreamSuccess(run))) {
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request_session.h"
 
 #include "dispatch/request_fingerprint.h"
+#include "membership/hash.h"
 
 #include <algorithm>
 #include <array>
@@ -277,6 +278,11 @@
     m_context.onQuarantineChange();
 }
 
+std::uint64_t request_session::requestKey() const
+{
+    return hashText(m_metadata.attemptId);
+}
+
 std::string request_session::buildRequest(const listed_endpoint &endpoint) const
 {
     std::string out;
@@ -336,7 +342,7 @@
                          {"fingerprint", toHexadecimal(m_fingerprint)},
                          {"entries", std::to_string(m_context.planner.liveEntries(now))},
                          {"hedge", run->isHedge ? "yes" : "no"}});
-    run->exchange = m_context.pool.acquire(placed.endpoint);
+    run->exchange = m_context.pool.acquire(placed.endpoint, requestKey());
     const auto self = shared_from_this();
     run->exchange->send(buildRequest(*placed.endpoint),
                         {.onHead = [self, run](http_response_head &head) { return self->onHead(*run, head); },
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -73,6 +73,8 @@
     [[nodiscard]] std::shared_ptr<upstream_attempt> detachOtherThan(const upstream_attempt &run);
     /// Tells the quarantine and the peers if the attempt that is about to be sent is the trial of held traits.
     void tryHeldTraits();
+    /// Names the caller's attempt to connections; see upstream_connection::noteRefused().
+    [[nodiscard]] std::uint64_t requestKey() const;
     [[nodiscard]] std::string buildRequest(const listed_endpoint &endpoint) const;
 
     [[nodiscard]] bool onHead(upstream_attempt &run, http_response_head &head);
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -1,5 +1,6 @@
 #include "http/upstream_connection.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -13,6 +14,9 @@
 constexpr std::size_t maxSkippedBytes = 1024 * 1024;
 constexpr int maxSkippedResponses = 16;
 
+/// Most refused requests that a connection knows. A request is sent again within seconds, in which a connection carries fewer.
+constexpr std::size_t maxRefusedKeys = 256;
+
 /// Returns N seconds from "timeout=N" of a Keep-Alive field; zero if there is none.
 duration announcedIdleTimeout(const header_list &headers)
 {
@@ -46,7 +50,7 @@
     : m_loop(loop)
     , m_reader({.onHead = [this](http_response_head &head) { onHead(head); },
                 .onBody = [this](std::string_view bytes) { onBody(bytes); },
-                .onComplete = [this] { onComplete(); }})
+                .onComplete = [this] { m_hasWholeResponse = true; }})
     , m_idleSince(loop.now())
 {
 }
@@ -144,6 +148,19 @@
     return m_idleTimeout;
 }
 
+void upstream_connection::noteRefused(std::uint64_t requestKey)
+{
+    m_refused.push_back(requestKey);
+    if (m_refused.size() > maxRefusedKeys) {
+        m_refused.pop_front();
+    }
+}
+
+bool upstream_connection::hasRefused(std::uint64_t requestKey) const
+{
+    return std::find(m_refused.begin(), m_refused.end(), requestKey) != m_refused.end();
+}
+
 void upstream_connection::setReading(bool isReading)
 {
     m_channel->setReading(isReading);
@@ -158,7 +175,15 @@
     }
     while (m_isBusy && !bytes.empty()) {
         const std::size_t consumed = m_reader.feed(bytes);
-        if (m_reader.isMalformed() || m_skippedBytes > maxSkippedBytes || m_skippedResponses > maxSkippedResponses) {
+        if (std::exchange(m_hasWholeResponse, false)) {
+            bytes.remove_prefix(consumed);
+            endResponse(!bytes.empty());
+            if (m_skippedResponses > maxSkippedResponses) {
+                fail(exchange_failure::malformed, close_reason::closed_by_peer);
+            }
+            continue;
+        }
+        if (m_reader.isMalformed() || m_skippedBytes > maxSkippedBytes) {
             fail(exchange_failure::malformed, close_reason::closed_by_peer);
             return;
         }
@@ -195,7 +220,7 @@
     m_skippedBytes += bytes.size();
 }
 
-void upstream_connection::onComplete()
+void upstream_connection::endResponse(bool isFollowedByBytes)
 {
     // A hook may have abandoned the exchange while the rest of the same bytes is still being parsed.
     if (!m_isBusy) {
@@ -207,6 +232,8 @@
         m_reader.reset();
         return;
     }
+    // Bytes that no request asked for may be copies of earlier responses, of which nothing tells where they end.
+    m_isReusable = m_isReusable && !isFollowedByBytes;
     // After a response that arrives before the whole request is sent, it is unknown how the peer treats the remaining bytes, so the
     // connection is not reused.
     if (m_channel->pendingBytes() > 0 || !m_unsentRequest.empty()) {
@@ -229,6 +256,9 @@
     if (m_isBusy && reason == close_reason::closed_by_peer) {
         m_isReusable = false;
         m_reader.feedEnd();
+        if (std::exchange(m_hasWholeResponse, false)) {
+            endResponse(false);
+        }
     }
     if (m_isBusy) {
         fail(reason == close_reason::never_connected ? exchange_failure::never_sent : exchange_failure::broken, reason);
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -5,6 +5,8 @@
 #include "http/message_reader.h"
 #include "net/byte_channel.h"
 
+#include <cstdint>
+#include <deque>
 #include <memory>
 #include <string>
 
@@ -56,11 +58,16 @@
     [[nodiscard]] bool isIdle() const;
     [[nodiscard]] bool isOpen() const;
     [[nodiscard]] bool isConnected() const;
-    /// Whether an earlier exchange was completed on this connection.
-    [[nodiscard]] bool isReused() const
+    /// Whether the connection has carried a response before, so that the next one may be a late copy of it.
+    [[nodiscard]] bool mayCarryCopies() const
     {
-        return m_hasCompletedExchange;
+        return m_hasCompletedExchange || m_hasSkippedResponse;
     }
+    /// Notes that the peer has answered a request, named by a key, that it did not run it. A copy of that answer cannot be told from the answer
+    /// to the same request sent again.
+    void noteRefused(std::uint64_t requestKey);
+    /// Whether the peer has answered so on this connection.
+    [[nodiscard]] bool hasRefused(std::uint64_t requestKey) const;
     [[nodiscard]] time_point idleSince() const;
     /// Idle time after which the peer closes the connection, from its Keep-Alive field; zero if it announced none.
     [[nodiscard]] duration idleTimeout() const;
@@ -77,7 +84,8 @@
     void onClosed(close_reason reason);
     void onHead(http_response_head &head);
     void onBody(std::string_view bytes);
-    void onComplete();
+    /// Ends the exchange, or the response that is skipped, after the reader has read a whole one.
+    void endResponse(bool isFollowedByBytes);
     void fail(exchange_failure failure, close_reason reason);
 
     event_loop &m_loop;
@@ -94,6 +102,9 @@
     bool m_hasSkippedResponse = false;
     std::size_t m_skippedBytes = 0;
     int m_skippedResponses = 0;
+    bool m_hasWholeResponse = false;
+    /// Keys of requests that the peer did not run, the oldest first.
+    std::deque<std::uint64_t> m_refused;
 };
 
 } // namespace wisteriashunt
