The test of repeated refusals keeps its cases apart

Cause: what the endpoint wrote for one case could arrive in the next one and hide its fault: on the code before the fix, the copies before the next answer did not show.

Change: a pause between the cases, and one status for answers without an ID, which each take the whole deadline.

--- a/test/repeated_refusal_test.cpp
+++ b/test/repeated_refusal_test.cpp
@@ -98,6 +98,8 @@
 
     void startAnew(const repeated_refusal &repeated)
     {
+        // What the endpoint still writes for the case before arrives on an idle connection, which is closed for it.
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
         const std::lock_guard lock(m_mutex);
         m_repeated = repeated;
         m_arrivals.clear();
@@ -145,6 +147,10 @@
     for (const std::string status : {"503", "429", "421", "408"}) {
         for (const std::string path : {"/read/", "/book/", "/talk/", "/draft/"}) {
             for (const auto named : {named_attempt::own, named_attempt::other, named_attempt::none}) {
+                // The answer that is waited for is never found, so one status is enough.
+                if (named == named_attempt::none && status != "503") {
+                    continue;
+                }
                 for (const auto time : {copy_time::with_the_first, copy_time::while_idle, copy_time::before_the_next_answer}) {
                     const repeated_refusal repeated{
                         .status = status, .path = path, .named = named, .time = time, .isByteByByte = number % 2 == 1, .copies = 1 + number % 3};
