A demand for the list is not served by a reading that began before it

Seen by the new test of demands: of two demands, the second made while a reading for the first was under way, both ended with that reading; with 100 demands at once, 99 were reported by a reading that they had only started.

Cause: the next reading begins before the demands of the last one are reported, and its own demands were reported in their place.

Change: demands are reported before the next reading begins.

Measured: demanded_reading_test.IsNotOneThatHasBegunBefore before: begun Which is: 2, expected 3.

--- a/src/gateway/log_follower.cpp
+++ b/src/gateway/log_follower.cpp
@@ -17,6 +17,13 @@
 /// Time after an outage during which records of live endpoints may still be missing; the platform documents about two seconds.
 constexpr std::chrono::milliseconds outageRecoveryTime{2500};
 
+void report(const std::vector<log_follower::demand_hook> &demands, bool isRead)
+{
+    for (const auto &demand : demands) {
+        demand(isRead);
+    }
+}
+
 } // namespace
 
 duration removalHold(record_timing timing, duration maxDrainDelay)
@@ -160,14 +167,6 @@
     }
 }
 
-void log_follower::reportDemands(bool isRead)
-{
-    const auto served = std::exchange(m_servedDemands, {});
-    for (const auto &demand : served) {
-        demand(isRead);
-    }
-}
-
 bool log_follower::isUpToEnd(const log_read &asked, const keyed_page &page) const
 {
     const log_position end{.epoch = asked.from.epoch, .offset = page.end};
@@ -268,8 +267,9 @@
             m_lastAsked = std::max(m_lastAsked, m_readingSince);
         }
         becomeComplete();
+        // The next reading may begin at once, for other demands.
+        report(std::exchange(m_servedDemands, {}), isRead);
         endReading(m_options.period);
-        reportDemands(isRead);
         return;
     case read_step::next_page:
     case read_step::read_newest:
@@ -345,9 +345,10 @@
     m_isReading = false;
     scheduleNext(m_backoff);
     // Demands that came meanwhile would wait for a log that is away.
-    m_servedDemands.insert(m_servedDemands.end(), std::make_move_iterator(m_demands.begin()), std::make_move_iterator(m_demands.end()));
-    m_demands.clear();
-    reportDemands(false);
+    const auto served = std::exchange(m_servedDemands, {});
+    const auto waiting = std::exchange(m_demands, {});
+    report(served, false);
+    report(waiting, false);
 }
 
 void log_follower::scheduleNext(duration pause)
--- a/src/gateway/log_follower.h
+++ b/src/gateway/log_follower.h
@@ -150,8 +150,6 @@
     void scheduleNext(duration pause);
     /// Begins a reading for the demands that wait, now or after the shortest pause between two of these.
     void scheduleDemanded();
-    /// Ends the demands that the reading in progress serves.
-    void reportDemands(bool isRead);
     /// Whether the answer shows the topic up to the end that it had when the reading began, or later.
     [[nodiscard]] bool isUpToEnd(const log_read &asked, const keyed_page &page) const;
 
--- a/test/log_follower_test.cpp
+++ b/test/log_follower_test.cpp
@@ -137,6 +137,123 @@
     close(sink);
 }
 
+/// A follower of an empty topic of a log on a socket that takes its time to answer.
+class demanded_reading_test : public ::testing::Test
+{
+protected:
+    ~demanded_reading_test() override
+    {
+        close(m_sink);
+    }
+
+    testing::scripted_response serve(const received_request &request)
+    {
+        if (m_isAway) {
+            return {.closes = true};
+        }
+        if (request.target.find("log-newest") != std::string::npos) {
+            return {.parts = {answer(R"({"items":[],"has_more":false,"end":0})")}};
+        }
+        return {.parts = {"", answer(std::string(16, '\0'))}, .pause = std::chrono::milliseconds(50)};
+    }
+
+    static std::string answer(const std::string &body)
+    {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    /// Runs the loop, and calls the step every other millisecond.
+    void run(const std::function<void()> &step)
+    {
+        m_follower.start();
+        runPeriodically(m_loop, std::chrono::milliseconds(2), step);
+        m_loop.run();
+    }
+
+    std::atomic<bool> m_isAway{false};
+    testing::loopback_server m_server{[this](const received_request &request) { return serve(request); }};
+    int m_sink = open("/dev/null", O_WRONLY | O_CLOEXEC);
+    boot_clock m_clock;
+    event_loop m_loop{m_clock};
+    event_log m_log{m_loop, {.descriptor = m_sink}};
+    keyed_log_dialect m_dialect = platform::makeLogDialect();
+    log_follower m_follower{m_loop,
+                            m_log,
+                            m_dialect,
+                            {.topic = "t", .log = {.ip = 0x7f000001, .port = m_server.port()}, .period = std::chrono::seconds(10)},
+                            {.onRecord = [](const keyed_record &, record_timing) {}}};
+};
+
+// A reading that had begun before shows the topic as it was before.
+TEST_F(demanded_reading_test, IsNotOneThatHasBegunBefore)
+{
+    bool isDemanded = false;
+    std::size_t begunBefore = 0;
+    std::size_t begun = 0;
+    run([&] {
+        if (!isDemanded && m_follower.isComplete()) {
+            isDemanded = true;
+            m_follower.readNow([](bool) {});
+        } else if (isDemanded && begunBefore == 0 && m_server.requests().size() == 2) {
+            begunBefore = 2;
+            m_follower.readNow([&](bool isRead) {
+                EXPECT_TRUE(isRead);
+                begun = m_server.requests().size();
+                m_loop.stop();
+            });
+        }
+    });
+    EXPECT_EQ(begun, 3U);
+}
+
+TEST_F(demanded_reading_test, ServesAllDemandsThatWaitForIt)
+{
+    constexpr int demands = 100;
+    int served = 0;
+    bool isDemanded = false;
+    run([&] {
+        if (isDemanded || !m_follower.isComplete()) {
+            return;
+        }
+        isDemanded = true;
+        for (int i = 0; i < demands; ++i) {
+            m_follower.readNow([&](bool isRead) {
+                served += isRead ? 1 : 0;
+                if (served == demands) {
+                    m_loop.stop();
+                }
+            });
+        }
+    });
+    constexpr std::size_t newestTwoReadings = 3;
+    EXPECT_LE(m_server.requests().size(), newestTwoReadings);
+}
+
+TEST_F(demanded_reading_test, FailsIfTheLogDoesNotAnswer)
+{
+    std::vector<bool> results;
+    bool isDemanded = false;
+    run([&] {
+        if (isDemanded || !m_follower.isComplete()) {
+            return;
+        }
+        isDemanded = true;
+        m_isAway = true;
+        m_follower.readNow([&](bool isRead) {
+            results.push_back(isRead);
+            m_loop.stop();
+        });
+    });
+    EXPECT_EQ(results, std::vector<bool>{false});
+}
+
+TEST(list_demand_test, AllEntriesTogetherMakeAtMostAThousandCallsASecond)
+{
+    for (const std::size_t entries : {1, 4, 28, 103, 1900}) {
+        EXPECT_LE(static_cast<double>(entries) / toSeconds(listDemandPause(entries)), 1000.0) << entries;
+    }
+}
+
 TEST(keyed_snapshot_test, RoundTripsAndRejectsTruncatedBytes)
 {
     const peer_snapshot snapshot{.records = {.next = 12, .records = {{.key = "k", .value = "v", .offset = 3}}},
