--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include "dispatch/list_readings.h"
 #include "dispatch/turns.h"
 #include "gateway/explain_operation.h"
 #include "gateway/memory_watch.h"
--- a/src/gateway/log_follower.cpp
+++ b/src/gateway/log_follower.cpp
@@ -40,13 +40,6 @@
     return {};
 }
 
-duration listDemandPause(std::size_t liveEntries)
-{
-    constexpr std::chrono::milliseconds minPause{10};
-    constexpr std::chrono::milliseconds pausePerEntry{1};
-    return std::max<duration>(minPause, pausePerEntry * static_cast<std::int64_t>(liveEntries));
-}
-
 log_follower::log_follower(event_loop &loop, event_log &log, const keyed_log_dialect &dialect, const log_follower_options &options, follower_hooks hooks)
     : m_loop(loop)
     , m_log(log)
--- a/src/gateway/log_follower.h
+++ b/src/gateway/log_follower.h
@@ -57,10 +57,6 @@
 /// Longest pause between two attempts to read the list of endpoints during an outage of the log.
 inline constexpr std::chrono::milliseconds endpointsMaxBackoff{400};
 
-/// Returns the shortest pause between two readings of the list on demand by one entry, with which all entries together make at most a thousand
-/// calls a second.
-[[nodiscard]] duration listDemandPause(std::size_t liveEntries);
-
 /// How current a follower is, for entries that follow the topic through it.
 struct follower_currency
 {
@@ -85,7 +81,7 @@
     std::function<void()> onComplete = [] {};
     /// Called when the log, or a snapshot, shows a higher epoch than all before.
     std::function<void(std::int64_t epoch)> onEpoch = [](std::int64_t) {};
-    /// Called after a reading that passed over records, so that a key may have had values that were not seen.
+    /// Called after a reading of the newest records alone, between which and the known ones there were others; see topic_records::takePassedOver().
     std::function<void()> onPassedOver = [] {};
     /// Returns the shortest pause between the beginnings of two readings on demand.
     std::function<duration()> demandPause = [] { return duration{}; };
--- a/test/log_follower_test.cpp
+++ b/test/log_follower_test.cpp
@@ -1,4 +1,5 @@
 // Tests log_follower: the records that it keeps of a topic, and merging of other entries' snapshots.
+#include "dispatch/list_readings.h"
 #include "gateway/log_follower.h"
 #include "gateway/peer_records.h"
 #include "loopback_server.h"
