Trailers of a request are not kept as fields of its head

What callers saw: nothing by themselves; a crowd of chunked requests with 3,500 short trailer lines each brought an entry over its memory, and a trailer with the name of a field of the head was forwarded as one.

Cause: the reader appended trailers to the fields of the head, which had been checked by then.

Change: trailers are counted against the limits and dropped, in requests and in responses, as RFC 9110, 6.5.1 permits.

--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -151,14 +151,19 @@
 int request_reader::onField(http_parser *parser, const char *at, std::size_t length)
 {
     auto &reader = self(parser);
-    appendName(reader.m_request.headers, reader.m_lastWasValue, at, length);
+    // Trailers are counted and not kept: as fields of the head they could change how the request is treated (RFC 9110, 6.5.1).
+    if (!reader.m_isHeadComplete) {
+        appendName(reader.m_request.headers, reader.m_lastWasValue, at, length);
+    }
     return reader.countHead(length) ? 0 : 1;
 }
 
 int request_reader::onValue(http_parser *parser, const char *at, std::size_t length)
 {
     auto &reader = self(parser);
-    appendValue(reader.m_request.headers, reader.m_lastWasValue, at, length);
+    if (!reader.m_isHeadComplete) {
+        appendValue(reader.m_request.headers, reader.m_lastWasValue, at, length);
+    }
     return reader.countHead(length) ? 0 : 1;
 }
 
@@ -312,7 +317,9 @@
 int response_reader::onField(http_parser *parser, const char *at, std::size_t length)
 {
     auto &reader = self(parser);
-    appendName(reader.m_head.headers, reader.m_lastWasValue, at, length);
+    if (!reader.m_isHeadComplete) {
+        appendName(reader.m_head.headers, reader.m_lastWasValue, at, length);
+    }
     reader.m_headBytes += length;
     return reader.m_headBytes > maxResponseHeadBytes ? 1 : 0;
 }
@@ -320,7 +327,9 @@
 int response_reader::onValue(http_parser *parser, const char *at, std::size_t length)
 {
     auto &reader = self(parser);
-    appendValue(reader.m_head.headers, reader.m_lastWasValue, at, length);
+    if (!reader.m_isHeadComplete) {
+        appendValue(reader.m_head.headers, reader.m_lastWasValue, at, length);
+    }
     reader.m_headBytes += length;
     return reader.m_headBytes > maxResponseHeadBytes ? 1 : 0;
 }
--- a/test/message_reader_test.cpp
+++ b/test/message_reader_test.cpp
@@ -78,6 +78,16 @@
     EXPECT_EQ(faultOf(withHead("Transfer-Encoding: chunked\r\n", "5\r\nabcde\r\n"), bounds), read_fault::body_too_large);
 }
 
+TEST(request_reader_test, TrailersAreNotTakenForFieldsOfTheHead)
+{
+    request_reader reader({});
+    reader.feed(withHead("Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n0\r\nAuthorization: Bearer other\r\nHost: y\r\n\r\n"));
+    ASSERT_TRUE(reader.isComplete());
+    const auto request = reader.next();
+    EXPECT_EQ(request.body, "abc");
+    EXPECT_EQ(std::distance(request.headers.begin(), request.headers.end()), 2) << "Host and Transfer-Encoding";
+}
+
 TEST(request_reader_test, WantsContinueUntilItIsSent)
 {
     request_reader reader({});
