Fields of a head are kept as one text

What callers saw: requests of legal size whose heads have thousands of short or odd lines made an entry outgrow its memory.

Cause: a line of 4 bytes took 64 bytes and more as two strings in a vector that doubles, again in the copy that goes to the endpoint. Fields that a Connection field names were looked up one by one, which is quadratic in their number.

Change: header_list keeps "NAME:VALUE" lines in one text and hands out views; the names in a Connection field are a set. No limit on the number of lines: one below what max_header_bytes admits would refuse legal requests.

--- a/src/gateway/duty_runner.cpp
+++ b/src/gateway/duty_runner.cpp
@@ -210,7 +210,7 @@
              },
          .onAnswer =
              [this, window = action.window](const http_response_head &head, const std::string &) {
-                 if (const auto *date = findHeader(head.headers, "date")) {
+                 if (const auto date = findHeader(head.headers, "date")) {
                      if (const auto at = parseDate(*date)) {
                          m_usage.onPlatformDate(*at, m_loop.now());
                      }
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -98,8 +98,8 @@
 bool request_session::isEventStream(const upstream_attempt &run) const
 {
     constexpr std::string_view eventStreamType = "text/event-stream";
-    const auto *type = findHeader(run.head.headers, "content-type");
-    return isStreamSuccess(run) && (type == nullptr || equalsIgnoreCase(std::string_view(*type).substr(0, eventStreamType.size()), eventStreamType));
+    const auto type = findHeader(run.head.headers, "content-type");
+    return isStreamSuccess(run) && (!type || equalsIgnoreCase(std::string_view(*type).substr(0, eventStreamType.size()), eventStreamType));
 }
 
 std::optional<std::string> request_session::breakOfCompleteAnswer(const upstream_attempt &run) const
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -54,10 +54,11 @@
         return error_kind::overloaded;
     }
     m_metadata = m_context.dialect.readRequest(m_request.headers);
+    const auto host = findHeader(m_request.headers, "host");
     const auto admitted = admitRequest(
         *m_table,
         m_context.streams,
-        findHeader(m_request.headers, "host"),
+        host ? &*host : nullptr,
         m_request.target,
         m_metadata,
         [this](const route_table &table) { return table.findWorkspace(m_metadata.apiKey); },
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <charconv>
 #include <ctime>
 #include <http_parser.h>
 #include <strings.h>
+#include <unordered_set>
 
 namespace wisteriashunt
 {
@@ -16,6 +18,13 @@
 constexpr std::array<std::string_view, 9> hopByHopNames{
     "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect"};
 
+std::string toLower(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return lower;
+}
+
 } // namespace
 
 bool equalsIgnoreCase(std::string_view left, std::string_view right)
@@ -45,10 +54,117 @@
     return "unknown";
 }
 
-const std::string *findHeader(const header_list &headers, std::string_view name)
+header_list::const_iterator::const_iterator(std::string_view rest)
+    : m_rest(rest)
+{
+    readField();
+}
+
+void header_list::const_iterator::readField()
+{
+    if (m_rest.empty()) {
+        return;
+    }
+    const auto colon = m_rest.find(':');
+    const auto end = m_rest.find('\n', colon);
+    m_field = {.name = m_rest.substr(0, colon), .value = m_rest.substr(colon + 1, end - colon - 1)};
+    m_fieldBytes = end + 1;
+}
+
+header_list::const_iterator::reference header_list::const_iterator::operator*() const
+{
+    return m_field;
+}
+
+header_list::const_iterator::pointer header_list::const_iterator::operator->() const
+{
+    return &m_field;
+}
+
+header_list::const_iterator &header_list::const_iterator::operator++()
+{
+    m_rest.remove_prefix(m_fieldBytes);
+    readField();
+    return *this;
+}
+
+header_list::const_iterator header_list::const_iterator::operator++(int)
+{
+    auto before = *this;
+    ++*this;
+    return before;
+}
+
+bool header_list::const_iterator::operator==(const const_iterator &other) const
+{
+    return m_rest.size() == other.m_rest.size();
+}
+
+header_list::header_list(std::initializer_list<header_field> fields)
+{
+    for (const auto &field : fields) {
+        append(field.name, field.value);
+    }
+}
+
+void header_list::append(std::string_view name, std::string_view value)
+{
+    m_text.append(name).append(1, ':').append(value).append(1, '\n');
+}
+
+void header_list::appendToName(std::string_view part)
+{
+    if (m_position == position::in_value) {
+        m_text.push_back('\n');
+    }
+    m_position = position::in_name;
+    m_text.append(part);
+}
+
+void header_list::appendToValue(std::string_view part)
+{
+    if (m_position == position::in_name) {
+        m_text.push_back(':');
+    }
+    m_position = position::in_value;
+    m_text.append(part);
+}
+
+void header_list::endFields()
+{
+    if (m_position == position::in_name) {
+        m_text.push_back(':');
+    }
+    if (m_position != position::between_fields) {
+        m_text.push_back('\n');
+    }
+    m_position = position::between_fields;
+}
+
+header_list::const_iterator header_list::begin() const
+{
+    return const_iterator(m_text);
+}
+
+header_list::const_iterator header_list::end() const
+{
+    return {};
+}
+
+bool header_list::empty() const
+{
+    return m_text.empty();
+}
+
+std::size_t header_list::heldBytes() const
+{
+    return m_text.capacity();
+}
+
+std::optional<std::string> findHeader(const header_list &headers, std::string_view name)
 {
     const auto position = std::find_if(headers.begin(), headers.end(), [name](const header_field &field) { return equalsIgnoreCase(field.name, name); });
-    return position == headers.end() ? nullptr : &position->value;
+    return position == headers.end() ? std::nullopt : std::optional<std::string>(position->value);
 }
 
 bool isHopByHop(std::string_view name)
@@ -58,24 +174,21 @@
 
 header_list endToEndHeaders(const header_list &headers)
 {
-    std::vector<std::string_view> named;
+    // In lower case. A set, as both the field and the fields that it may name can be thousands.
+    std::unordered_set<std::string> named;
     for (const auto &field : headers) {
         if (equalsIgnoreCase(field.name, "connection")) {
             for (std::string_view rest = field.value; !rest.empty();) {
                 const auto comma = std::min(rest.find(','), rest.size());
-                named.push_back(trim(rest.substr(0, comma)));
+                named.insert(toLower(trim(rest.substr(0, comma))));
                 rest.remove_prefix(std::min(comma + 1, rest.size()));
             }
         }
     }
-    const auto isNamed = [&named](std::string_view name) {
-        return std::any_of(named.begin(), named.end(), [name](std::string_view other) { return equalsIgnoreCase(other, name); });
-    };
     header_list kept;
-    kept.reserve(headers.size());
     for (const auto &field : headers) {
-        if (!isHopByHop(field.name) && !isNamed(field.name)) {
-            kept.push_back(field);
+        if (!isHopByHop(field.name) && (named.empty() || named.find(toLower(field.name)) == named.end())) {
+            kept.append(field.name, field.value);
         }
     }
     return kept;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -3,24 +3,87 @@
 
 #include "wisteriashunt/time.h"
 
+#include <cstddef>
+#include <initializer_list>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace wisteriashunt
 {
 
-/// One header field with the name spelled as received.
+/// One header field with the name spelled as received. Refers to texts that belong to others, for example to a header_list.
 struct header_field
 {
-    std::string name;
-    std::string value;
+    std::string_view name;
+    std::string_view value;
 
     bool operator==(const header_field &) const = default;
 };
 
-using header_list = std::vector<header_field>;
+/// Header fields in the order in which they were received. They are kept as one text, so that a field takes no more memory than on the wire: a
+/// head may hold thousands of lines of a few bytes.
+class header_list
+{
+public:
+    /// Iterates over the fields. Invalidated by any change of the list.
+    class const_iterator
+    {
+    public:
+        using iterator_category = std::forward_iterator_tag;
+        using value_type = header_field;
+        using difference_type = std::ptrdiff_t;
+        using pointer = const header_field *;
+        using reference = const header_field &;
+
+        const_iterator() = default;
+        explicit const_iterator(std::string_view rest);
+
+        reference operator*() const;
+        pointer operator->() const;
+        const_iterator &operator++();
+        const_iterator operator++(int);
+        bool operator==(const const_iterator &other) const;
+
+    private:
+        void readField();
+
+        /// Text from the current field on; empty at the end.
+        std::string_view m_rest;
+        std::size_t m_fieldBytes = 0;
+        header_field m_field;
+    };
+
+    header_list() = default;
+    header_list(std::initializer_list<header_field> fields);
+
+    void append(std::string_view name, std::string_view value);
+    /// Appends a part of a name; begins a field unless the last one has no value yet.
+    void appendToName(std::string_view part);
+    /// Appends a part of the last field's value. Requires a field.
+    void appendToValue(std::string_view part);
+    /// Completes the last field.
+    void endFields();
+
+    [[nodiscard]] const_iterator begin() const;
+    [[nodiscard]] const_iterator end() const;
+    [[nodiscard]] bool empty() const;
+    /// Memory that the fields take.
+    [[nodiscard]] std::size_t heldBytes() const;
+
+    bool operator==(const header_list &other) const = default;
+
+private:
+    /// "NAME:VALUE\n" for each field. Neither a name can hold a colon nor a value a line break.
+    std::string m_text;
+    enum class position {
+        between_fields,
+        in_name,
+        in_value,
+    };
+    position m_position = position::between_fields;
+};
 
 /// Compares ASCII text without regard to case, as field names require.
 [[nodiscard]] bool equalsIgnoreCase(std::string_view left, std::string_view right);
@@ -28,8 +91,8 @@
 /// Removes spaces and tabs at both ends.
 [[nodiscard]] std::string_view trim(std::string_view text);
 
-/// Returns the value of the first field with that name, or nullptr if there is none.
-[[nodiscard]] const std::string *findHeader(const header_list &headers, std::string_view name);
+/// Returns the value of the first field with that name, or nullopt if there is none.
+[[nodiscard]] std::optional<std::string> findHeader(const header_list &headers, std::string_view name);
 
 /// Returns the time of a Date field, for example "Fri, 04 Dec 2026 21:18:00 GMT"; nullopt if the text is none.
 [[nodiscard]] std::optional<time_point> parseDate(const std::string &text);
@@ -49,6 +112,12 @@
     std::string body;
     bool isHttp10 = false;
     bool keepsAlive = true;
+
+    /// Memory that the request takes.
+    [[nodiscard]] std::size_t heldBytes() const
+    {
+        return target.size() + headers.heldBytes() + body.size();
+    }
 };
 
 /// What marks the end of a response's body.
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -52,8 +52,8 @@
 /// True if Transfer-Encoding is absent or exactly "chunked".
 bool hasSupportedTransferCoding(const header_list &headers)
 {
-    const auto *coding = findHeader(headers, "transfer-encoding");
-    return coding == nullptr || equalsIgnoreCase(trim(*coding), "chunked");
+    const auto coding = findHeader(headers, "transfer-encoding");
+    return !coding || equalsIgnoreCase(trim(*coding), "chunked");
 }
 
 /// Checks for a target that begins with a slash and has no blanks or control characters (RFC 9112, 3.2.1).
@@ -62,21 +62,6 @@
     return !target.empty() && target.front() == '/' && std::all_of(target.begin(), target.end(), [](unsigned char c) { return c > 0x20 && c != 0x7f; });
 }
 
-void appendName(header_list &headers, bool &lastWasValue, const char *at, std::size_t length)
-{
-    if (lastWasValue) {
-        headers.emplace_back();
-    }
-    headers.back().name.append(at, length);
-    lastWasValue = false;
-}
-
-void appendValue(header_list &headers, bool &lastWasValue, const char *at, std::size_t length)
-{
-    headers.back().value.append(at, length);
-    lastWasValue = true;
-}
-
 /// Returns how the body of a response ends (RFC 9112, 6.3).
 body_framing framingOf(const http_parser &parser)
 {
@@ -119,7 +104,6 @@
     m_headBytes = 0;
     m_unframedBytes = 0;
     m_fault = read_fault::none;
-    m_lastWasValue = true;
     m_hasBegun = false;
     m_isHeadComplete = false;
     m_isComplete = false;
@@ -153,7 +137,7 @@
     auto &reader = self(parser);
     // Trailers are counted and not kept: as fields of the head they could change how the request is treated (RFC 9110, 6.5.1).
     if (!reader.m_isHeadComplete) {
-        appendName(reader.m_request.headers, reader.m_lastWasValue, at, length);
+        reader.m_request.headers.appendToName(std::string_view(at, length));
     }
     return reader.countHead(length) ? 0 : 1;
 }
@@ -162,7 +146,7 @@
 {
     auto &reader = self(parser);
     if (!reader.m_isHeadComplete) {
-        appendValue(reader.m_request.headers, reader.m_lastWasValue, at, length);
+        reader.m_request.headers.appendToValue(std::string_view(at, length));
     }
     return reader.countHead(length) ? 0 : 1;
 }
@@ -173,6 +157,7 @@
     reader.m_isHeadComplete = true;
     reader.m_unframedBytes = 0;
     auto &request = reader.m_request;
+    request.headers.endFields();
     request.method = http_method_str(static_cast<http_method>(parser->method));
     request.isHttp10 = parser->http_major == 1 && parser->http_minor == 0;
     request.keepsAlive = http_should_keep_alive(parser) != 0;
@@ -189,11 +174,8 @@
         reader.m_fault = read_fault::body_too_large;
         return -1;
     }
-    const auto *expectation = findHeader(request.headers, "expect");
-    reader.m_wantsContinue = expectation != nullptr && equalsIgnoreCase(*expectation, "100-continue");
-    if (hasLength) {
-        request.body.reserve(static_cast<std::size_t>(parser->content_length));
-    }
+    const auto expectation = findHeader(request.headers, "expect");
+    reader.m_wantsContinue = expectation && equalsIgnoreCase(*expectation, "100-continue");
     return 0;
 }
 
@@ -204,7 +186,12 @@
         reader.m_fault = read_fault::body_too_large;
         return 1;
     }
-    reader.m_request.body.append(at, length);
+    auto &body = reader.m_request.body;
+    if (body.empty() && (parser->flags & F_CONTENTLENGTH) != 0) {
+        // The parser has already subtracted these bytes from the length.
+        body.reserve(length + static_cast<std::size_t>(parser->content_length));
+    }
+    body.append(at, length);
     reader.m_unframedBytes = 0;
     return 0;
 }
@@ -295,7 +282,6 @@
     m_parser.data = this;
     m_head = {};
     m_headBytes = 0;
-    m_lastWasValue = true;
     m_unframedBytes = 0;
     m_isMalformed = false;
     m_isInterim = false;
@@ -318,7 +304,7 @@
 {
     auto &reader = self(parser);
     if (!reader.m_isHeadComplete) {
-        appendName(reader.m_head.headers, reader.m_lastWasValue, at, length);
+        reader.m_head.headers.appendToName(std::string_view(at, length));
     }
     reader.m_headBytes += length;
     return reader.m_headBytes > maxResponseHeadBytes ? 1 : 0;
@@ -328,7 +314,7 @@
 {
     auto &reader = self(parser);
     if (!reader.m_isHeadComplete) {
-        appendValue(reader.m_head.headers, reader.m_lastWasValue, at, length);
+        reader.m_head.headers.appendToValue(std::string_view(at, length));
     }
     reader.m_headBytes += length;
     return reader.m_headBytes > maxResponseHeadBytes ? 1 : 0;
@@ -342,6 +328,7 @@
     if (reader.m_isInterim) {
         return 0;
     }
+    reader.m_head.headers.endFields();
     if (!areValidHeaders(reader.m_head.headers) || hasDuplicates(reader.m_head.headers, "content-length")) {
         return -1;
     }
@@ -366,7 +353,6 @@
     auto &reader = self(parser);
     if (reader.m_isInterim) {
         reader.m_head = {};
-        reader.m_lastWasValue = true;
         return 0;
     }
     reader.m_isComplete = true;
--- a/src/http/message_reader.h
+++ b/src/http/message_reader.h
@@ -69,7 +69,6 @@
     /// Bytes since the start of the head, or since the last ones of the body.
     std::size_t m_unframedBytes = 0;
     read_fault m_fault = read_fault::none;
-    bool m_lastWasValue = true;
     bool m_hasBegun = false;
     bool m_isHeadComplete = false;
     bool m_isComplete = false;
@@ -119,7 +118,6 @@
     std::size_t m_headBytes = 0;
     /// Bytes since the end of the last response, or since the last ones of the body.
     std::size_t m_unframedBytes = 0;
-    bool m_lastWasValue = true;
     bool m_isMalformed = false;
     bool m_isInterim = false;
     bool m_isHeadComplete = false;
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -21,8 +21,8 @@
 duration announcedIdleTimeout(const header_list &headers)
 {
     constexpr std::string_view key = "timeout=";
-    const auto *value = findHeader(headers, "keep-alive");
-    const auto position = value == nullptr ? std::string::npos : value->find(key);
+    const auto value = findHeader(headers, "keep-alive");
+    const auto position = !value ? std::string::npos : value->find(key);
     if (position == std::string::npos) {
         return {};
     }
--- a/test/broken_answer_test.cpp
+++ b/test/broken_answer_test.cpp
@@ -228,8 +228,8 @@
             if (broken) {
                 return breakOff(*broken, got);
             }
-            const auto *after = findHeader(got.headers, "last-event-id");
-            const std::string rest = after == nullptr ? wholeStream : *after == "1" ? secondEvent + thirdEvent : *after == "2" ? thirdEvent : std::string();
+            const auto after = findHeader(got.headers, "last-event-id");
+            const std::string rest = !after ? wholeStream : *after == "1" ? secondEvent + thirdEvent : *after == "2" ? thirdEvent : std::string();
             return scripted_response{.parts = {okHead(got) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(rest) + std::string(lastChunk)}};
         };
         start(handle, handle);
@@ -319,8 +319,8 @@
     const std::string first = "id: 1\r\ndata: a\r\n\r\n";
     const std::string second = "id: 2\r\ndata: b\r\n\r\n";
     const auto handle = [=](const received_request &got) {
-        const auto *after = findHeader(got.headers, "last-event-id");
-        return after == nullptr ? scripted_response{.parts = {okHead(got) + "\r\n" + first + "id: 2\r\nda"}, .closes = true}
+        const auto after = findHeader(got.headers, "last-event-id");
+        return !after ? scripted_response{.parts = {okHead(got) + "\r\n" + first + "id: 2\r\nda"}, .closes = true}
                                 : scripted_response{.parts = {okHead(got) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(second) + std::string(lastChunk)}};
     };
     start(handle, handle);
--- a/test/crash_judge.h
+++ b/test/crash_judge.h
@@ -84,8 +84,8 @@
 /// Returns what makes a request at an endpoint the same as another. The caller is the workspace that the entry names.
 [[nodiscard]] inline crash_judge::request_key keyOf(const received_request &request)
 {
-    const auto *workspace = findHeader(request.headers, "x-tenant");
-    return {request.target, workspace == nullptr ? "" : *workspace, request.body};
+    const auto workspace = findHeader(request.headers, "x-tenant");
+    return {request.target, !workspace ? "" : *workspace, request.body};
 }
 
 } // namespace wisteriashunt::testing
--- a/test/crashing_prompt_test.cpp
+++ b/test/crashing_prompt_test.cpp
@@ -95,8 +95,8 @@
 
     scripted_response answer(std::size_t index, const received_request &got)
     {
-        const auto *prefix = findHeader(got.headers, "x-prompt-prefix");
-        if (prefix != nullptr && prefix->find(deadlyPart) != std::string::npos) {
+        const auto prefix = findHeader(got.headers, "x-prompt-prefix");
+        if (prefix && prefix->find(deadlyPart) != std::string::npos) {
             const std::lock_guard lock(m_mutex);
             ++m_crashes;
             m_log.dropEndpoint(endpointId(index));
--- a/test/crashing_request_soak_test.cpp
+++ b/test/crashing_request_soak_test.cpp
@@ -140,10 +140,10 @@
     scripted_response serve(const received_request &got, std::size_t index)
     {
         constexpr milliseconds work{20};
-        const auto *entry = findHeader(got.headers, "x-entry");
+        const auto entry = findHeader(got.headers, "x-entry");
         {
             const std::lock_guard lock(m_mutex);
-            m_judge.arrive(keyOf(got), m_clock.now(), entry == nullptr ? "" : *entry);
+            m_judge.arrive(keyOf(got), m_clock.now(), !entry ? "" : *entry);
             m_ran.insert(attemptIdOf(got));
         }
         std::this_thread::sleep_for(work);
--- a/test/entry_soak_test.cpp
+++ b/test/entry_soak_test.cpp
@@ -302,8 +302,8 @@
     /// Records the arrival at the endpoint, and returns the field that declares the endpoint's limit, if it has one.
     std::string limitField(const received_request &got, int endpoint)
     {
-        const auto *entry = findHeader(got.headers, "x-entry");
-        const auto name = entry == nullptr ? "" : *entry;
+        const auto entry = findHeader(got.headers, "x-entry");
+        const auto name = !entry ? "" : *entry;
         const std::lock_guard lock(m_limitsMutex);
         auto &judge = m_judges[static_cast<std::size_t>(endpoint)];
         const auto &limit = m_limits[static_cast<std::size_t>(endpoint)];
@@ -327,8 +327,8 @@
             return {.parts = {withLength(okHead(got) + limit, attempt)}};
         }
         const auto version = versionOf(*findHeader(got.headers, "x-expect-instance"));
-        const auto *after = findHeader(got.headers, "last-event-id");
-        const int first = after == nullptr ? 1 : std::stoi(*after) + 1;
+        const auto after = findHeader(got.headers, "last-event-id");
+        const int first = !after ? 1 : std::stoi(*after) + 1;
         constexpr int unframedInterval = 5;
         if (!m_isBeforeFaults && m_served % unframedInterval == 0) {
             return streamWithoutLength(okHead(got) + limit, attempt, version, first);
--- a/test/entry_standins.cpp
+++ b/test/entry_standins.cpp
@@ -298,8 +298,8 @@
 
 std::string attemptIdOf(const received_request &request)
 {
-    const auto *id = findHeader(request.headers, "x-attempt-id");
-    return id == nullptr ? "" : *id;
+    const auto id = findHeader(request.headers, "x-attempt-id");
+    return !id ? "" : *id;
 }
 
 std::string okHead(const received_request &request)
--- a/test/gateway_test.cpp
+++ b/test/gateway_test.cpp
@@ -29,7 +29,7 @@
     EXPECT_EQ(*findHeader(got.headers, "x-other"), "kept");
     EXPECT_EQ(*findHeader(got.headers, "x-tenant"), "north");
     EXPECT_EQ(*findHeader(got.headers, "x-expect-instance"), "e0");
-    EXPECT_EQ(findHeader(got.headers, "authorization"), nullptr);
+    EXPECT_EQ(findHeader(got.headers, "authorization"), std::nullopt);
 }
 
 TEST_F(gateway_test, RefusesFaultyRequestsWithoutAnEndpoint)
@@ -128,9 +128,9 @@
 TEST_F(gateway_test, ResumesABrokenStreamAfterItsLastWholeEvent)
 {
     const auto serve = [](const received_request &got) {
-        const auto *after = findHeader(got.headers, "last-event-id");
+        const auto after = findHeader(got.headers, "last-event-id");
         const std::string head = okHead(got) + "Transfer-Encoding: chunked\r\n\r\n";
-        if (after == nullptr) {
+        if (!after) {
             return scripted_response{.parts = {head + chunk(event(1)) + chunk(event(2)) + chunk("id: 3\nda")}, .closes = true};
         }
         return scripted_response{.parts = {head + chunk(event(std::stoi(*after) + 1)) + "0\r\n\r\n"}};
@@ -148,7 +148,7 @@
 {
     const auto serve = [](const received_request &got) {
         const std::string head = okHead(got) + "Transfer-Encoding: chunked\r\n\r\n";
-        if (findHeader(got.headers, "last-event-id") == nullptr) {
+        if (!findHeader(got.headers, "last-event-id")) {
             return scripted_response{.parts = {head + chunk(event(1)) + chunk(event(2))}, .closes = true};
         }
         return scripted_response{.parts = {head + chunk(event(1)) + chunk(event(2)) + chunk(event(3)) + "0\r\n\r\n"}};
--- a/test/message_reader_test.cpp
+++ b/test/message_reader_test.cpp
@@ -31,7 +31,7 @@
     EXPECT_EQ(request.method, "POST");
     EXPECT_EQ(request.target, "/a/b?c=d");
     EXPECT_EQ(request.body, "abc");
-    ASSERT_NE(findHeader(request.headers, "x-one"), nullptr);
+    ASSERT_NE(findHeader(request.headers, "x-one"), std::nullopt);
     EXPECT_EQ(trim(*findHeader(request.headers, "x-one")), "two");
 }
 
@@ -178,6 +178,54 @@
     EXPECT_EQ(m_reported, "");
 }
 
+TEST(request_reader_test, AHeadOfManyShortLinesTakesLittleMoreThanOnTheWire)
+{
+    constexpr std::size_t lines = 3500;
+    std::string fields;
+    for (std::size_t i = 0; i < lines; ++i) {
+        fields += "a:\r\n";
+    }
+    request_reader reader({});
+    reader.feed(withHead(fields));
+    ASSERT_TRUE(reader.isComplete());
+    const auto request = reader.next();
+    EXPECT_EQ(std::distance(request.headers.begin(), request.headers.end()), lines + 1);
+    EXPECT_LE(request.heldBytes(), 2 * fields.size());
+}
+
+TEST(message_test, FieldsThatAConnectionFieldNamesAreFoundAmongThousands)
+{
+    constexpr int names = 4000;
+    std::string connection;
+    header_list headers;
+    for (int i = 0; i < names; ++i) {
+        connection += "x" + std::to_string(i) + ", ";
+    }
+    headers.append("Connection", connection);
+    for (int i = 0; i < 2 * names; ++i) {
+        headers.append("X" + std::to_string(i), "");
+    }
+    const auto kept = endToEndHeaders(headers);
+    EXPECT_EQ(std::distance(kept.begin(), kept.end()), names);
+}
+
+TEST(message_test, AHeaderListKeepsFieldsInPartsAndOrder)
+{
+    header_list headers;
+    for (const std::string_view part : {"X-", "One"}) {
+        headers.appendToName(part);
+    }
+    for (const std::string_view part : {"a:", "b"}) {
+        headers.appendToValue(part);
+    }
+    headers.appendToName("X-Two");
+    headers.endFields();
+    EXPECT_EQ(headers, (header_list{{"X-One", "a:b"}, {"X-Two", ""}}));
+    EXPECT_EQ(findHeader(headers, "x-two"), "");
+    EXPECT_EQ(findHeader(headers, "x-three"), std::nullopt);
+    EXPECT_TRUE(header_list{}.begin() == header_list{}.end());
+}
+
 TEST(message_test, EndToEndHeadersExcludeHopByHopFields)
 {
     const header_list kept =
--- a/test/stream_version_test.cpp
+++ b/test/stream_version_test.cpp
@@ -96,9 +96,9 @@
 private:
     scripted_response serve(const received_request &got, const std::string &version) const
     {
-        const auto *after = findHeader(got.headers, "last-event-id");
-        const int first = after == nullptr ? 1 : std::stoi(*after) + 1;
-        const bool breaks = after == nullptr ? m_breaksFirst : m_breaksResumed;
+        const auto after = findHeader(got.headers, "last-event-id");
+        const int first = !after ? 1 : std::stoi(*after) + 1;
+        const bool breaks = !after ? m_breaksFirst : m_breaksResumed;
         const int last = breaks ? std::min(first + eventsBeforeBreak - 1, eventsInStream - 1) : eventsInStream;
         scripted_response stream{.parts = {okHead(got) + "Transfer-Encoding: chunked\r\n\r\n"}, .closes = breaks};
         for (int number = first; number <= last; ++number) {
