A caller's next request waits until its answers are read

What callers saw: beside callers that send requests ahead and read nothing, an ordinary request was refused for as long as they stayed; the entry outgrew its memory.

Cause: a refusal was written at once and the next request sent ahead was read at once, whatever had not been read before, up to the watch's next look.

Change: a request waits while more than 16 kB of answers to that caller are not sent; 16 kB of further requests are kept, then reading pauses; 16 requests of a connection are read in a wake-up; the bytes are moved less often.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -6,8 +6,17 @@
 namespace
 {
 
-/// Bytes of pipelined requests that are buffered while a request is being answered. Reading pauses above this limit.
-constexpr std::size_t maxPipelinedBytes = 64 * 1024;
+/// Bytes of further requests that are buffered while a request is being answered. Reading pauses above this limit.
+constexpr std::size_t maxAheadBytes = 16 * 1024;
+
+/// Bytes of answers that are not sent above which the caller's next request waits.
+constexpr std::size_t maxUnreadBytes = 16 * 1024;
+
+/// Requests of one connection in a wake-up.
+constexpr int maxRequestsPerWakeUp = 16;
+
+/// Time until a connection with further requests is looked at again.
+constexpr std::chrono::milliseconds shortestPause{1};
 
 /// Time without an acknowledgement after which a caller to which nothing is being sent is considered disconnected. Tolerates the loss of a few packets in a
 /// row. An answer that is not acknowledged ends with its request, which has a time limit.
@@ -48,7 +57,7 @@
                                                  .onDrained =
                                                      [weak] {
                                                          if (const auto self = weak.lock()) {
-                                                             self->onDrained();
+                                                             self->onChannelDrained();
                                                          }
                                                      }});
     return connection;
@@ -56,6 +65,7 @@
 
 caller_connection::~caller_connection()
 {
+    m_loop.cancel(m_readLater);
     if (m_channel != nullptr && !m_closesAfterAnswer) {
         m_channel->close();
     }
@@ -64,21 +74,21 @@
 void caller_connection::onBytes(std::string_view bytes)
 {
     m_lastActivity = m_loop.now();
-    if (m_isAnswering || m_closesAfterAnswer) {
-        m_pipelined.append(bytes);
-        if (m_pipelined.size() > maxPipelinedBytes) {
-            m_channel->setReading(false);
-        }
+    if (m_closesAfterAnswer) {
+        // No further request is read.
         return;
     }
-    if (!m_pipelined.empty()) {
-        m_pipelined.append(bytes);
-        readRequests();
-        return;
+    const auto self = shared_from_this();
+    if (m_isAnswering || !m_ahead.empty()) {
+        m_ahead.append(bytes);
+    } else {
+        const std::size_t consumed = m_reader.feed(bytes);
+        m_ahead.assign(bytes.substr(consumed));
     }
-    const std::size_t consumed = m_reader.feed(bytes);
-    m_pipelined.assign(bytes.substr(consumed));
     readRequests();
+    if (m_channel->isOpen() && m_ahead.size() - m_aheadBegin > maxAheadBytes) {
+        m_channel->setReading(false);
+    }
 }
 
 void caller_connection::readRequests()
@@ -89,10 +99,9 @@
     }
     m_isReadingRequests = true;
     const auto self = shared_from_this();
-    while (!m_isAnswering && !m_closesAfterAnswer && m_channel->isOpen()) {
-        if (!m_reader.isComplete() && m_reader.fault() == read_fault::none && !m_pipelined.empty()) {
-            const std::size_t consumed = m_reader.feed(m_pipelined);
-            m_pipelined.erase(0, consumed);
+    for (int requests = 0; !m_isAnswering && !m_closesAfterAnswer && m_channel->isOpen() && !hasUnreadAnswers() && m_readLater == 0;) {
+        if (!m_reader.isComplete() && m_reader.fault() == read_fault::none && m_aheadBegin < m_ahead.size()) {
+            m_aheadBegin += m_reader.feed(std::string_view(m_ahead).substr(m_aheadBegin));
         }
         if (m_reader.fault() != read_fault::none) {
             m_isAnswering = true;
@@ -107,6 +116,10 @@
             }
             break;
         }
+        if (++requests > maxRequestsPerWakeUp) {
+            readRequestsLater();
+            break;
+        }
         auto request = m_reader.next();
         m_isAnswering = true;
         m_isHttp10 = request.isHttp10;
@@ -114,6 +127,48 @@
         m_hooks->onRequest(self, std::move(request));
     }
     m_isReadingRequests = false;
+    if (m_closesAfterAnswer || m_aheadBegin == m_ahead.size()) {
+        m_ahead = std::string();
+        m_aheadBegin = 0;
+    } else if (m_aheadBegin >= m_ahead.size() - m_aheadBegin) {
+        m_ahead.erase(0, m_aheadBegin);
+        m_aheadBegin = 0;
+    }
+}
+
+void caller_connection::readRequestsLater()
+{
+    if (m_readLater != 0) {
+        return;
+    }
+    m_readLater = m_loop.schedule(m_loop.now() + shortestPause, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->m_readLater = 0;
+            self->continueReading();
+        }
+    });
+}
+
+bool caller_connection::hasUnreadAnswers() const
+{
+    return m_channel->pendingBytes() > maxUnreadBytes;
+}
+
+void caller_connection::continueReading()
+{
+    if (m_isAnswering || !m_channel->isOpen()) {
+        return;
+    }
+    readRequests();
+    if (m_channel->isOpen() && m_ahead.size() - m_aheadBegin <= maxAheadBytes && !hasUnreadAnswers()) {
+        m_channel->setReading(true);
+    }
+}
+
+void caller_connection::onChannelDrained()
+{
+    onDrained();
+    continueReading();
 }
 
 void caller_connection::appendConnectionHeader(std::string &head) const
@@ -176,10 +231,7 @@
         m_channel->closeAfterFlush();
         return;
     }
-    if (m_channel->isOpen()) {
-        m_channel->setReading(true);
-        readRequests();
-    }
+    continueReading();
 }
 
 void caller_connection::abort()
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -48,7 +48,6 @@
 
     /// Writes a complete response. `head` is the status line and fields without the empty line that ends them; framing fields are appended.
     void answer(std::string head, std::string_view body);
-
     /// Begins a response in parts: chunked, or for HTTP/1.0, which has no chunks, up to the end of the connection; `head` as in answer().
     void beginStream(std::string head);
     /// Writes one part of the response body; empty data is skipped.
@@ -85,13 +84,23 @@
     void readRequests();
     void onChannelEnd();
     void finishAnswer();
+    void onChannelDrained();
+    /// Reads the requests that wait if none is being answered.
+    void continueReading();
     void appendConnectionHeader(std::string &head) const;
+    /// Whether the next request waits until the answers before it are sent.
+    [[nodiscard]] bool hasUnreadAnswers() const;
+    /// Reads on in the next wake-up, so that one caller with many requests does not keep the others waiting.
+    void readRequestsLater();
 
     event_loop &m_loop;
     std::shared_ptr<const caller_hooks> m_hooks;
     std::shared_ptr<byte_channel> m_channel;
     request_reader m_reader;
-    std::string m_pipelined;
+    /// Bytes after the request that is being read or answered, from m_aheadBegin on.
+    std::string m_ahead;
+    std::size_t m_aheadBegin = 0;
+    timer_id m_readLater = 0;
     time_point m_lastActivity;
     bool m_isAnswering = false;
     bool m_closesAfterAnswer = false;
