What callers send counts from its first byte on

What callers saw: 60 legal bodies of 4 MB at once, whole or a byte short, took an entry of 110 MB to over 250 MB, for which the platform ends it; all requests that it had passed on lost their answers. While unread answers took much, every new request was refused, small ones too.

Cause: a body counted when its request was whole, answers that were not read at a tick of 100 ms, heads never. The body was copied for the endpoint, and the answer for the caller. Freed bodies stayed with the allocator.

Change: a ledger (net/memory_ledger.h) that connections and sessions charge as they grow, with a limit of two fifths of memory_mb, a quarter for long requests that are whole. Over the limit, dispatch/memory_relief.h decides at the read what goes: requests sent ahead, then those that are not expected to end within 5 s, then the least urgent and of these what would hold most for longest. They get 429 and the connection closes after they could read it; none of them has run. A request below 64 kB is admitted while others hold much. Bodies from 64 kB on are not copied. Large blocks are mappings of their own, and freed pages are returned after a crowd.

--- a/src/evidence/decision.cpp
+++ b/src/evidence/decision.cpp
@@ -122,6 +122,8 @@
         return "settings_reloaded";
     case event_number::log_lines_dropped:
         return "log_lines_dropped";
+    case event_number::memory_relieved:
+        return "memory_relieved";
     case event_number::duty_taken:
         return "duty_taken";
     case event_number::duty_lost:
--- a/src/evidence/decision.h
+++ b/src/evidence/decision.h
@@ -70,6 +70,7 @@
     keys_reloaded = 605,
     settings_reloaded = 606,
     log_lines_dropped = 607,
+    memory_relieved = 608,
     duty_taken = 701,
     duty_lost = 702,
     usage_reported = 703,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -54,8 +54,14 @@
 /// Path of the metrics, which are served in the Prometheus text format.
 constexpr std::string_view metricsPath = "/metrics";
 
-/// Bodies of open requests may take the instance's memory divided by the first; bodies and unread answers together, by the second.
-constexpr std::size_t bodyMemoryDivisor = 4, bufferMemoryDivisor = 2;
+/// Shares of the instance's memory that the messages of callers may take, and among them long requests that are whole. docs/CAPACITY.md has the sum.
+constexpr double bufferMemoryShare = 0.4;
+constexpr double runningMemoryShare = 0.25;
+
+std::size_t shareOf(std::size_t bytes, double share)
+{
+    return static_cast<std::size_t>(static_cast<double>(bytes) * share);
+}
 
 /// Share of the instance's link that messages to other entries may take. The rest is for callers and endpoints.
 constexpr double exchangeLinkShare = 0.1;
@@ -80,10 +86,12 @@
     return maxRereadDelay * static_cast<std::int64_t>(std::hash<std::string>{}(instance) % steps) / static_cast<std::int64_t>(steps);
 }
 
-caller_options callerOptions(const caller_limits &limits)
+caller_options callerOptions(const caller_limits &limits, const std::shared_ptr<memory_ledger> &ledger)
 {
-    return {
-        .bounds = {.headBytes = limits.maxHeadBytes, .bodyBytes = limits.maxBodyBytes}, .headTimeout = limits.headTimeout, .idleTimeout = limits.idleTimeout};
+    return {.bounds = {.headBytes = limits.maxHeadBytes, .bodyBytes = limits.maxBodyBytes},
+            .headTimeout = limits.headTimeout,
+            .idleTimeout = limits.idleTimeout,
+            .ledger = ledger};
 }
 
 void answerWithoutBody(caller_connection &caller, int status)
@@ -120,8 +128,9 @@
                 .counters = m_counters,
                 .retryOptions = m_options.settings.retries,
                 .hedging = hedge_policy({.limits = m_options.settings.hedging, .window = m_options.settings.retries.window}),
-                .maxBodyBytes = m_options.settings.maxMemoryBytes / bodyMemoryDivisor,
-                .memory = {.budgetBytes = m_options.settings.maxMemoryBytes / bufferMemoryDivisor}}
+                .buffers = std::make_shared<memory_ledger>(shareOf(m_options.settings.maxMemoryBytes, bufferMemoryShare)),
+                .running = std::make_shared<memory_ledger>(shareOf(m_options.settings.maxMemoryBytes, runningMemoryShare), m_context.buffers),
+                .memory = {.budgetBytes = m_context.buffers->limitBytes()}}
     , m_declarationsFollower(m_loop,
                              m_log,
                              m_options.logDialect,
@@ -158,7 +167,8 @@
                                m_sessions.erase(&caller);
                                m_callers.release(m_loop, caller);
                            },
-                       .onFault = [this](const auto &caller, read_fault fault) { onFault(caller, fault); }}))
+                       .onFault = [this](const auto &caller, read_fault fault) { onFault(caller, fault); },
+                       .onMemoryOver = [this] { m_context.onMemoryOver(); }}))
     , m_readinessHooks(std::make_shared<caller_hooks>(
           caller_hooks{.onRequest = [this](const auto &caller, received_request &&request) { onReadinessRequest(caller, request); },
                        .onDisconnected = [](caller_connection &) {},
@@ -173,6 +183,7 @@
     m_streams.listReadAt = [this] { return m_endpointsFollower.isComplete() ? std::optional(m_endpointsFollower.lastAnswer()) : std::nullopt; };
     m_streams.listAskedAt = [this] { return m_endpointsFollower.lastAsked(); };
     m_context.readList = [this](std::function<void(bool)> onRead) { readList(std::move(onRead)); };
+    m_context.onMemoryOver = [this] { relieveMemory(m_context, m_callers); };
     m_context.onEndpointLeaving = [this] { announceNews(); };
     m_context.onQuarantineChange = [this] { announceQuarantineChange(); };
     m_roster.onUnavailable = [this](const endpoint_pointer &endpoint) {
@@ -188,6 +199,7 @@
     m_log.write(
         event_number::process_started,
         {{"instance", m_options.settings.instance}, {"zone", m_options.settings.availabilityZone}, {"callers", toString(m_options.settings.callerAddress)}});
+    configureAllocator();
     addGauges();
     m_startedAt = m_loop.now();
     listen();
@@ -350,6 +362,7 @@
 void gateway::addGauges()
 {
     m_counters.addGauge("open_requests", [this] { return static_cast<double>(m_context.openSessions); });
+    m_counters.addGauge("message_bytes", [this] { return static_cast<double>(m_context.buffers->bytes()); });
     m_counters.addGauge("unread_answer_bytes", [this] { return static_cast<double>(m_context.unreadBytes); });
     m_counters.addGauge("waiting_requests", [this] { return static_cast<double>(m_context.queue.size()); });
     m_counters.addGauge("caller_connections", [this] { return static_cast<double>(m_callers.all().size()); });
@@ -407,7 +420,7 @@
 {
     enforceCallerLimit();
     const auto limits = m_context.table == nullptr ? caller_limits{} : m_context.table->declarations().limits;
-    const auto caller = caller_connection::adopt(m_loop, descriptor, callerOptions(limits), m_callerHooks);
+    const auto caller = caller_connection::adopt(m_loop, descriptor, callerOptions(limits, m_context.buffers), m_callerHooks);
     m_callers.add(caller);
 }
 
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -15,6 +15,7 @@
 #include "gateway/wire_dialect.h"
 #include "membership/endpoint_roster.h"
 #include "net/event_loop.h"
+#include "net/memory_ledger.h"
 #include "routing/route_table.h"
 
 #include <functional>
@@ -31,6 +32,9 @@
 /// when no attempts, retries or time are left, and when the request can no longer wait behind queued ones.
 inline constexpr std::chrono::milliseconds defaultRetryAfter{300};
 
+/// Length from which on the body of a message is not copied, and a request needs room for long ones.
+inline constexpr std::size_t longBodyBytes = 64 * 1024;
+
 /// Logs a change of the limit that an endpoint declares, with what it was learnt from.
 inline void logRateLimitChange(event_log &log, const rate_limit_change &change, const log_field &source)
 {
@@ -66,6 +70,8 @@
     admission_queue queue;
     /// Called when a stream is cut that its caller may take up at another entry at once.
     std::function<void()> onStreamCut = [] {};
+    /// Frees memory. To be called when buffers are over their limit.
+    std::function<void()> onMemoryOver = [] {};
     /// Called when an endpoint has said that it leaves.
     std::function<void()> onEndpointLeaving = [] {};
     /// Called when the quarantine of prompts may have changed.
@@ -76,12 +82,14 @@
     std::function<void(const std::string &workspace)> onRunBegun = [](const std::string &) {};
     bool isQueueRunScheduled = false;
     timer_id queueTimer = 0;
-    /// Bytes of the bodies of open requests and of answers that are not streams, and their limit.
-    std::size_t bodyBytes = 0;
-    std::size_t maxBodyBytes = 0;
+    /// Counts all messages of callers, and among them whole requests with the answers that are collected for them.
+    std::shared_ptr<memory_ledger> buffers = std::make_shared<memory_ledger>();
+    std::shared_ptr<memory_ledger> running = std::make_shared<memory_ledger>();
     /// Bytes of answers that callers have not read, as of the last look, and what follows from it; see watchMemory().
     memory_options memory;
     std::size_t unreadBytes = 0;
+    /// Most bytes of buffers since pages were last given back.
+    std::size_t mostBufferBytes = 0;
     bool isMemoryShort = false;
     /// Most bytes of one answer that is no stream, and of one event.
     std::size_t maxAnswerBytes = 16 * 1024 * 1024;
@@ -94,10 +102,11 @@
     /// True from SIGTERM on.
     bool isLeaving = false;
 
-    /// Whether bodies and unread answers leave no memory for new requests.
-    [[nodiscard]] bool refusesForMemory() const
+    /// Whether there is no memory to run a request of so many bytes. Small ones may use what is left for answers.
+    [[nodiscard]] bool refusesForMemory(std::size_t requestBytes) const
     {
-        return isMemoryShort || bodyBytes > maxBodyBytes;
+        const auto limit = requestBytes < longBodyBytes ? buffers->limitBytes() : running->limitBytes();
+        return limit != 0 && running->bytes() + requestBytes > limit;
     }
 
     /// Called when an endpoint may have free capacity. Tries the queued requests once at the end of this iteration of the loop.
--- a/src/gateway/request_answers.cpp
+++ b/src/gateway/request_answers.cpp
@@ -3,6 +3,7 @@
 
 #include "dispatch/answer_lateness.h"
 #include "dispatch/request_fingerprint.h"
+#include "gateway/refusal.h"
 
 #include <algorithm>
 #include <array>
@@ -76,7 +77,11 @@
     appendResponseHead(head, m_run->head.status, m_run->head.reason, endToEndHeaders(m_run->head.headers));
     const auto caller = std::exchange(m_caller, nullptr);
     finish(event_number::request_answered, std::to_string(m_run->head.status));
-    caller->answer(std::move(head), m_run->body);
+    if (m_run->body.size() < longBodyBytes) {
+        caller->answer(std::move(head), m_run->body);
+    } else {
+        caller->answerShared(std::move(head), std::make_shared<const std::string>(m_run->takeBody()));
+    }
 }
 
 void request_session::refuse(error_kind kind, duration retryAfter)
@@ -87,18 +92,11 @@
         forwardResponse();
         return;
     }
-    const auto &answer = answerFor(kind);
-    std::string head;
-    appendResponseHead(head, answer.httpStatus, reasonPhrase(answer.httpStatus), {{"Content-Type", "application/json"}});
-    if (answer.retryLater && answer.runState == run_state::not_run) {
-        m_context.dialect.writeRetryAfter(head, retryAfter);
-    }
-    const std::string body =
-        "{\"error\":{\"type\":\"" + std::string(answer.name) + "\",\"ran\":\"" + (answer.runState == run_state::not_run ? "no" : "maybe") + "\"}}";
+    const auto answer = makeRefusal(m_context.dialect, kind, retryAfter);
     const auto caller = std::exchange(m_caller, nullptr);
-    finish(event_number::request_refused, std::string(answer.name));
+    finish(event_number::request_refused, std::string(answerFor(kind).name));
     if (caller != nullptr) {
-        caller->answer(std::move(head), body);
+        caller->answer(answer.head, answer.body);
     }
 }
 
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -128,7 +128,14 @@
     }
     if (!isStreamSuccess(run)) {
         run.appendBody(bytes);
-        if (run.body.size() > m_context.maxAnswerBytes || m_context.bodyBytes > m_context.maxBodyBytes) {
+        if (m_context.buffers->isOver()) {
+            m_context.onMemoryOver();
+        }
+        // The caller may have been given up to free memory.
+        if (!run.isRunning()) {
+            return;
+        }
+        if (run.body.size() > m_context.maxAnswerBytes || m_context.buffers->isOver()) {
             run.exchange->close();
             onBroken(run, "answer_too_large", toString(run.head.framing));
         }
--- a/src/gateway/request_hedge.cpp
+++ b/src/gateway/request_hedge.cpp
@@ -101,7 +101,7 @@
                          {"after_ms", milliseconds(now - m_run->sentAt)},
                          {"predicted_ms", milliseconds(m_run->placed.predictedFirstByte)},
                          {"tokens", std::to_string(slow.promptTokens)}});
-    m_rival = std::make_shared<upstream_attempt>(m_context.bodyBytes);
+    m_rival = std::make_shared<upstream_attempt>(m_context.running);
     m_rival->isHedge = true;
     m_rival->events = m_run->events;
     m_rival->events.dropPartial();
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -19,6 +19,9 @@
 /// Remaining time below which another attempt cannot produce an answer.
 constexpr std::chrono::milliseconds minAttemptTime{60};
 
+/// What a part of a prompt takes in the structures of a session.
+constexpr std::size_t promptPartBytes = 160;
+
 /// Engines accept priorities from 0, the most urgent, to 9.
 constexpr int lowestPriority = 9;
 
@@ -28,17 +31,19 @@
     : m_context(context)
     , m_caller(std::move(caller))
     , m_request(std::move(request))
+    , m_body(std::make_shared<const std::string>(std::move(m_request.body)))
+    , m_charge(context.running)
     , m_arrival(context.loop.now())
-    , m_run(std::make_shared<upstream_attempt>(context.bodyBytes))
+    , m_run(std::make_shared<upstream_attempt>(context.running))
 {
     ++m_context.openSessions;
-    m_context.bodyBytes += m_request.body.size();
+    m_isRefusedForMemory = m_context.refusesForMemory(m_body->size());
+    m_charge.set(m_request.heldBytes() + m_body->size());
 }
 
 request_session::~request_session()
 {
     --m_context.openSessions;
-    m_context.bodyBytes -= m_request.body.size();
 }
 
 std::optional<error_kind> request_session::admit()
@@ -50,7 +55,7 @@
     if (m_context.refusesNewRequests) {
         return error_kind::shutting_down;
     }
-    if (m_context.refusesForMemory()) {
+    if (m_isRefusedForMemory) {
         return error_kind::overloaded;
     }
     m_metadata = m_context.dialect.readRequest(m_request.headers);
@@ -142,9 +147,10 @@
     });
     m_line = waitingLineOf(m_service, m_placementRequest.hasPrompt && !m_context.planner.isLongPrompt(m_placementRequest));
     m_resumeAfter = m_metadata.lastEvent;
-    m_fingerprint = fingerprintOf({.method = m_request.method, .target = m_request.target, .workspace = m_workspace, .body = m_request.body});
+    m_fingerprint = fingerprintOf({.method = m_request.method, .target = m_request.target, .workspace = m_workspace, .body = *m_body});
     m_traits = m_placementRequest.hasPrompt ? sharedParts(m_metadata.prompt) : trait_set{};
     m_traits.insert({trait_kind::whole_request, m_fingerprint});
+    m_charge.set(m_request.heldBytes() + m_body->size() + m_metadata.prompt.size() * promptPartBytes);
     m_context.allowanceOf(m_service).onRequest(m_arrival);
     if (m_context.hedging.isOn()) {
         m_context.hedging.onRequest(m_service, m_context.planner.sharingEntries(m_arrival), m_arrival);
@@ -286,8 +292,9 @@
 
 std::string request_session::buildRequest(const listed_endpoint &endpoint) const
 {
+    const bool isLong = m_body->size() >= longBodyBytes;
     std::string out;
-    out.reserve(m_request.body.size() + 1024);
+    out.reserve(m_request.headers.heldBytes() + (isLong ? 0 : m_body->size()) + 1024);
     out.append(m_request.method).append(" ").append(m_request.target).append(" HTTP/1.1\r\n");
     m_context.dialect.writeForwarded(out,
                                      endToEndHeaders(m_request.headers),
@@ -296,16 +303,16 @@
                                       .timeLeft = std::max<duration>(timeLeft(), std::chrono::milliseconds(1)),
                                       .priority = m_placementRequest.hasPrompt ? std::optional(std::min(m_rank, lowestPriority)) : std::nullopt,
                                       .lastEvent = m_resumeAfter});
-    if (!m_request.body.empty() || m_request.method != "GET") {
-        appendHeader(out, "Content-Length", std::to_string(m_request.body.size()));
+    if (!m_body->empty() || m_request.method != "GET") {
+        appendHeader(out, "Content-Length", std::to_string(m_body->size()));
     }
-    out.append("\r\n").append(m_request.body);
+    out.append("\r\n").append(isLong ? std::string_view{} : std::string_view(*m_body));
     return out;
 }
 
 void request_session::send(const placement &placed)
 {
-    const auto run = std::make_shared<upstream_attempt>(m_context.bodyBytes);
+    const auto run = std::make_shared<upstream_attempt>(m_context.running);
     run->events = std::move(m_run->events);
     m_run = run;
     start(run, placed);
@@ -349,7 +356,8 @@
                         {.onHead = [self, run](http_response_head &head) { return self->onHead(*run, head); },
                          .onBody = [self, run](std::string_view bytes) { self->onBody(*run, bytes); },
                          .onComplete = [self, run] { self->onComplete(*run); },
-                         .onFailure = [self, run](exchange_failure failure, close_reason end) { self->onFailure(*run, failure, end); }});
+                         .onFailure = [self, run](exchange_failure failure, close_reason end) { self->onFailure(*run, failure, end); }},
+                        m_body->size() < longBodyBytes ? nullptr : m_body);
 }
 
 attempt_state request_session::state() const
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -75,6 +75,7 @@
     void tryHeldTraits();
     /// Names the caller's attempt to connections; see upstream_connection::noteRefused().
     [[nodiscard]] std::uint64_t requestKey() const;
+    /// Returns the request with its body, or only its head if the body is long; see longBodyBytes.
     [[nodiscard]] std::string buildRequest(const listed_endpoint &endpoint) const;
 
     [[nodiscard]] bool onHead(upstream_attempt &run, http_response_head &head);
@@ -123,7 +124,12 @@
 
     gateway_context &m_context;
     std::shared_ptr<caller_connection> m_caller;
+    /// Without its body.
     received_request m_request;
+    std::shared_ptr<const std::string> m_body;
+    memory_charge m_charge;
+    /// Whether there was no memory for the request when it had arrived.
+    bool m_isRefusedForMemory = false;
     request_metadata m_metadata;
     std::shared_ptr<const route_table> m_table;
     const route *m_route = nullptr;
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -5,6 +5,7 @@
 #include "gateway/event_splitter.h"
 #include "gateway/wire_dialect.h"
 #include "http/upstream_connection.h"
+#include "net/memory_ledger.h"
 
 #include <memory>
 #include <string>
@@ -15,25 +16,27 @@
 /// What a session knows of one run, from its sending until the session ends. At most two runs of a session go on at a time.
 struct upstream_attempt
 {
-    /// bodyBytes counts the bytes of the body for as long as this object exists.
-    explicit upstream_attempt(std::size_t &bodyBytes)
-        : countedBytes(bodyBytes)
+    /// The ledger counts the bytes of the body for as long as this object exists.
+    explicit upstream_attempt(std::shared_ptr<memory_ledger> ledger)
+        : charge(std::move(ledger))
     {
     }
-    ~upstream_attempt()
-    {
-        countedBytes -= body.size();
-    }
     upstream_attempt(const upstream_attempt &) = delete;
     upstream_attempt &operator=(const upstream_attempt &) = delete;
 
     void appendBody(std::string_view bytes)
     {
-        countedBytes += bytes.size();
         body.append(bytes);
+        charge.set(body.size());
+    }
+    /// Gives up the body, which is no longer counted here.
+    [[nodiscard]] std::string takeBody()
+    {
+        charge.set(0);
+        return std::move(body);
     }
 
-    std::size_t &countedBytes;
+    memory_charge charge;
     placement placed;
     /// Set while the run goes on.
     std::shared_ptr<upstream_connection> exchange;
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "http/caller_connection.h"
 
+#include <algorithm>
+
 namespace wisteriashunt
 {
 
@@ -18,6 +20,9 @@
 /// Time until a connection with further requests is looked at again.
 constexpr std::chrono::milliseconds shortestPause{1};
 
+/// What a connection takes beside its messages.
+constexpr std::size_t connectionBytes = 2 * 1024;
+
 /// Time without an acknowledgement after which a caller to which nothing is being sent is considered disconnected. Tolerates the loss of a few packets in a
 /// row. An answer that is not acknowledged ends with its request, which has a time limit.
 constexpr std::chrono::milliseconds callerPeerTimeout{10000};
@@ -29,9 +34,13 @@
 caller_connection::caller_connection(event_loop &loop, const caller_options &options, std::shared_ptr<const caller_hooks> hooks)
     : m_loop(loop)
     , m_hooks(std::move(hooks))
+    , m_options(options)
+    , m_charge(options.ledger)
     , m_reader(options.bounds)
     , m_lastActivity(loop.now())
+    , m_paceSince(loop.now())
 {
+    m_charge.set(connectionBytes);
 }
 
 std::shared_ptr<caller_connection>
@@ -82,13 +91,18 @@
     if (m_isAnswering || !m_ahead.empty()) {
         m_ahead.append(bytes);
     } else {
-        const std::size_t consumed = m_reader.feed(bytes);
+        const std::size_t consumed = feed(bytes);
         m_ahead.assign(bytes.substr(consumed));
     }
+    notePace();
     readRequests();
     if (m_channel->isOpen() && m_ahead.size() - m_aheadBegin > maxAheadBytes) {
         m_channel->setReading(false);
     }
+    updateCharge();
+    if (m_options.ledger->isOver()) {
+        m_hooks->onMemoryOver();
+    }
 }
 
 void caller_connection::readRequests()
@@ -101,7 +115,7 @@
     const auto self = shared_from_this();
     for (int requests = 0; !m_isAnswering && !m_closesAfterAnswer && m_channel->isOpen() && !hasUnreadAnswers() && m_readLater == 0;) {
         if (!m_reader.isComplete() && m_reader.fault() == read_fault::none && m_aheadBegin < m_ahead.size()) {
-            m_aheadBegin += m_reader.feed(std::string_view(m_ahead).substr(m_aheadBegin));
+            m_aheadBegin += feed(std::string_view(m_ahead).substr(m_aheadBegin));
         }
         if (m_reader.fault() != read_fault::none) {
             m_isAnswering = true;
@@ -163,6 +177,7 @@
     if (m_channel->isOpen() && m_ahead.size() - m_aheadBegin <= maxAheadBytes && !hasUnreadAnswers()) {
         m_channel->setReading(true);
     }
+    updateCharge();
 }
 
 void caller_connection::onChannelDrained()
@@ -171,6 +186,48 @@
     continueReading();
 }
 
+std::size_t caller_connection::feed(std::string_view bytes)
+{
+    if (!m_reader.hasBegun()) {
+        m_paceSince = m_loop.now();
+        m_bytesBefore = 0;
+        m_pace = 0;
+    }
+    return m_reader.feed(bytes);
+}
+
+void caller_connection::notePace()
+{
+    constexpr std::chrono::seconds interval{1};
+    const auto elapsed = m_loop.now() - m_paceSince;
+    const auto held = m_reader.partial().heldBytes();
+    if (elapsed >= interval && held > m_bytesBefore) {
+        m_pace = static_cast<double>(held - m_bytesBefore) / toSeconds(elapsed);
+        m_paceSince = m_loop.now();
+        m_bytesBefore = held;
+    }
+}
+
+caller_holdings caller_connection::holdings() const
+{
+    caller_holdings held{.aheadBytes = m_ahead.size() - m_aheadBegin, .unreadBytes = m_channel->pendingBytes()};
+    if (hasPartialRequest()) {
+        constexpr std::chrono::milliseconds shortest{50};
+        held.incomingBytes = m_reader.partial().heldBytes();
+        held.missingBytes = m_reader.missingBytes();
+        held.quiet = m_loop.now() - m_lastActivity;
+        const auto elapsed = std::max<duration>(m_loop.now() - m_paceSince, shortest);
+        const auto recent = held.incomingBytes > m_bytesBefore ? static_cast<double>(held.incomingBytes - m_bytesBefore) / toSeconds(elapsed) : 0;
+        held.bytesPerSecond = std::max(m_pace, recent);
+    }
+    return held;
+}
+
+void caller_connection::updateCharge()
+{
+    m_charge.set(connectionBytes + m_reader.partial().heldBytes() + m_ahead.capacity() + m_channel->pendingBytes());
+}
+
 void caller_connection::appendConnectionHeader(std::string &head) const
 {
     if (m_closesAfterAnswer) {
@@ -189,6 +246,16 @@
     finishAnswer();
 }
 
+void caller_connection::answerShared(std::string head, std::shared_ptr<const std::string> body)
+{
+    appendHeader(head, "Content-Length", std::to_string(body->size()));
+    appendConnectionHeader(head);
+    head.append("\r\n");
+    m_channel->write(head);
+    m_channel->writeShared(std::move(body));
+    finishAnswer();
+}
+
 void caller_connection::beginStream(std::string head)
 {
     if (m_isHttp10) {
@@ -212,6 +279,7 @@
     chunk.reserve(bytes.size() + 16);
     appendChunk(chunk, bytes);
     m_channel->write(chunk);
+    updateCharge();
 }
 
 void caller_connection::endStream()
@@ -229,11 +297,30 @@
     onDrained = [] {};
     if (m_closesAfterAnswer) {
         m_channel->closeAfterFlush();
+        updateCharge();
         return;
     }
     continueReading();
 }
 
+void caller_connection::refusePartialRequest(std::string head, std::string_view body)
+{
+    m_reader.discard();
+    m_ahead = std::string();
+    m_aheadBegin = 0;
+    m_isAnswering = true;
+    m_closesAfterAnswer = true;
+    answer(std::move(head), body);
+}
+
+void caller_connection::dropRequestsAhead()
+{
+    m_ahead = std::string();
+    m_aheadBegin = 0;
+    closeWhenIdle();
+    updateCharge();
+}
+
 void caller_connection::abort()
 {
     m_isAnswering = false;
@@ -273,6 +360,11 @@
     return !m_isAnswering && m_reader.hasBegun();
 }
 
+const received_request *caller_connection::partialRequest() const
+{
+    return hasPartialRequest() && m_reader.hasHead() ? &m_reader.partial() : nullptr;
+}
+
 time_point caller_connection::lastActivity() const
 {
     return m_lastActivity;
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -4,6 +4,7 @@
 
 #include "http/message_reader.h"
 #include "net/byte_channel.h"
+#include "net/memory_ledger.h"
 
 #include <functional>
 #include <memory>
@@ -25,6 +26,8 @@
     std::function<void(caller_connection &)> onClosed;
     /// A request could not be read. The receiver sends an error response, after which the connection closes.
     std::function<void(const std::shared_ptr<caller_connection> &, read_fault)> onFault;
+    /// What has arrived has brought the ledger over its limit.
+    std::function<void()> onMemoryOver = [] {};
 };
 
 /// Limits and timeouts of caller connections.
@@ -33,6 +36,23 @@
     request_bounds bounds;
     duration headTimeout = std::chrono::seconds(3);
     duration idleTimeout = std::chrono::seconds(15);
+    /// Counts what connections hold: requests that are not whole or wait for their turn, and answers that are not sent.
+    std::shared_ptr<memory_ledger> ledger = std::make_shared<memory_ledger>();
+};
+
+/// What a connection holds, and how a request that is coming in gets on.
+struct caller_holdings
+{
+    /// Of a request that is not whole.
+    std::size_t incomingBytes = 0;
+    std::size_t missingBytes = 0;
+    /// Bytes of that request per second of late, and the time since the last ones.
+    double bytesPerSecond = 0;
+    duration quiet{};
+    /// Of requests that wait for the answer to the one before.
+    std::size_t aheadBytes = 0;
+    /// Of answers that are not sent.
+    std::size_t unreadBytes = 0;
 };
 
 /// One accepted connection.
@@ -48,6 +68,9 @@
 
     /// Writes a complete response. `head` is the status line and fields without the empty line that ends them; framing fields are appended.
     void answer(std::string head, std::string_view body);
+    /// The same for a long body, of which no copy is made.
+    void answerShared(std::string head, std::shared_ptr<const std::string> body);
+
     /// Begins a response in parts: chunked, or for HTTP/1.0, which has no chunks, up to the end of the connection; `head` as in answer().
     void beginStream(std::string head);
     /// Writes one part of the response body; empty data is skipped.
@@ -62,6 +85,12 @@
     /// Closes the connection by a reset and discards what it has not sent. Its hooks are called as if the caller had disconnected.
     void discard();
 
+    /// Refuses the request that is coming in: drops what has arrived of it, answers, and closes the connection. Requires hasPartialRequest().
+    void refusePartialRequest(std::string head, std::string_view body);
+
+    /// Drops the requests that wait for their turn and closes the connection after the current answer.
+    void dropRequestsAhead();
+
     /// Closes the connection after the current response, or once pending bytes are sent if no request is being answered.
     void closeWhenIdle();
 
@@ -71,6 +100,11 @@
     [[nodiscard]] bool hasPartialRequest() const;
     /// When bytes last arrived or a response was last completed.
     [[nodiscard]] time_point lastActivity() const;
+    /// The request that is coming in if its head is whole, otherwise nullptr.
+    [[nodiscard]] const received_request *partialRequest() const;
+    [[nodiscard]] caller_holdings holdings() const;
+    /// Counts anew what the connection holds.
+    void updateCharge();
     /// Bytes that have not been passed to the kernel yet.
     [[nodiscard]] std::size_t pendingBytes() const;
 
@@ -82,12 +116,15 @@
 
     void onBytes(std::string_view bytes);
     void readRequests();
+    /// Passes bytes to the reader. Returns how many it has consumed.
+    std::size_t feed(std::string_view bytes);
     void onChannelEnd();
     void finishAnswer();
     void onChannelDrained();
     /// Reads the requests that wait if none is being answered.
     void continueReading();
     void appendConnectionHeader(std::string &head) const;
+    void notePace();
     /// Whether the next request waits until the answers before it are sent.
     [[nodiscard]] bool hasUnreadAnswers() const;
     /// Reads on in the next wake-up, so that one caller with many requests does not keep the others waiting.
@@ -95,6 +132,8 @@
 
     event_loop &m_loop;
     std::shared_ptr<const caller_hooks> m_hooks;
+    caller_options m_options;
+    memory_charge m_charge;
     std::shared_ptr<byte_channel> m_channel;
     request_reader m_reader;
     /// Bytes after the request that is being read or answered, from m_aheadBegin on.
@@ -102,6 +141,10 @@
     std::size_t m_aheadBegin = 0;
     timer_id m_readLater = 0;
     time_point m_lastActivity;
+    /// Begin of the interval over which the pace is measured, what had arrived by then, and the pace before.
+    time_point m_paceSince;
+    std::size_t m_bytesBefore = 0;
+    double m_pace = 0;
     bool m_isAnswering = false;
     bool m_closesAfterAnswer = false;
     bool m_isReadingRequests = false;
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -248,6 +248,35 @@
     return m_hasBegun;
 }
 
+bool request_reader::hasHead() const
+{
+    return m_isHeadComplete;
+}
+
+const received_request &request_reader::partial() const
+{
+    return m_request;
+}
+
+std::size_t request_reader::missingBytes() const
+{
+    if (m_isComplete) {
+        return 0;
+    }
+    if (m_isHeadComplete && (m_parser.flags & F_CONTENTLENGTH) != 0) {
+        // The parser counts the length down as the body arrives.
+        return static_cast<std::size_t>(m_parser.content_length);
+    }
+    // As much again as has arrived, as for anything of unknown size.
+    constexpr std::size_t leastEstimate = 1024;
+    return std::max(m_request.heldBytes(), leastEstimate);
+}
+
+void request_reader::discard()
+{
+    reset();
+}
+
 bool request_reader::wantsContinue() const
 {
     return m_wantsContinue && !m_isComplete;
--- a/src/http/message_reader.h
+++ b/src/http/message_reader.h
@@ -40,6 +40,14 @@
     [[nodiscard]] read_fault fault() const;
     /// True if part of a request has arrived.
     [[nodiscard]] bool hasBegun() const;
+    /// True if the head of the request has arrived.
+    [[nodiscard]] bool hasHead() const;
+    /// The request as far as it has arrived.
+    [[nodiscard]] const received_request &partial() const;
+    /// Bytes of the body that are still to come; of a chunked one, an estimate.
+    [[nodiscard]] std::size_t missingBytes() const;
+    /// Forgets the request as far as it has arrived.
+    void discard();
     /// True if the head is complete and the caller waits for "100 Continue" before it sends the body.
     [[nodiscard]] bool wantsContinue() const;
     void setContinueSent();
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -89,13 +89,14 @@
                                        .onClosed = guarded([](upstream_connection &self, close_reason reason) { self.onClosed(reason); })});
 }
 
-void upstream_connection::send(std::string request, exchange_hooks hooks)
+void upstream_connection::send(std::string request, exchange_hooks hooks, std::shared_ptr<const std::string> body)
 {
     m_isBusy = true;
     m_hooks = std::move(hooks);
     m_skipsResponse = false;
     m_reader.reset();
     m_unsentRequest = std::move(request);
+    m_unsentBody = std::move(body);
     if (m_channel->isConnected()) {
         writeRequest();
     }
@@ -104,11 +105,15 @@
 void upstream_connection::writeRequest()
 {
     const auto request = std::exchange(m_unsentRequest, {});
+    auto body = std::exchange(m_unsentBody, nullptr);
     if (m_isBusy && m_hooks.maySend && !m_hooks.maySend()) {
         fail(exchange_failure::never_sent, close_reason::closed_here);
         return;
     }
     m_channel->write(request);
+    if (body != nullptr) {
+        m_channel->writeShared(std::move(body));
+    }
 }
 
 void upstream_connection::close()
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -47,8 +47,9 @@
     upstream_connection(const upstream_connection &) = delete;
     upstream_connection &operator=(const upstream_connection &) = delete;
 
-    /// Sends the request. Requires isIdle(). On a new connection the request is sent once the connection is established.
-    void send(std::string request, exchange_hooks hooks);
+    /// Sends the request, the second part of which may be left out. Requires isIdle(). On a new connection the request is sent once the
+    /// connection is established.
+    void send(std::string request, exchange_hooks hooks, std::shared_ptr<const std::string> body = nullptr);
 
     /// Closes the connection and abandons the current exchange without calling its hooks. The connection is reset if there is one, so that bytes
     /// of the request that have not arrived never do.
@@ -93,6 +94,7 @@
     response_reader m_reader;
     exchange_hooks m_hooks;
     std::string m_unsentRequest;
+    std::shared_ptr<const std::string> m_unsentBody;
     time_point m_idleSince;
     duration m_idleTimeout{};
     bool m_isBusy = false;
--- a/src/net/byte_channel.cpp
+++ b/src/net/byte_channel.cpp
@@ -169,14 +169,61 @@
         return;
     }
     // A peer that reads slowly but steadily would otherwise keep all that was ever sent to it in memory.
-    if (m_sent > 0 && m_sent >= pendingBytes()) {
+    if (m_sent > 0 && m_sent >= m_outgoing.size() - m_sent) {
         m_outgoing.erase(0, m_sent);
         m_sent = 0;
     }
+    if (m_shared != nullptr) {
+        m_outgoing.append(*m_shared, m_sharedSent);
+        m_shared.reset();
+        m_sharedSent = 0;
+    }
     m_outgoing.append(bytes);
     markDirty();
 }
 
+void byte_channel::writeShared(std::shared_ptr<const std::string> bytes)
+{
+    if (m_descriptor < 0 || m_closesAfterFlush || bytes->empty()) {
+        return;
+    }
+    if (m_shared != nullptr) {
+        write(*bytes);
+        return;
+    }
+    m_shared = std::move(bytes);
+    markDirty();
+}
+
+std::string_view byte_channel::unsent() const
+{
+    if (m_sent < m_outgoing.size()) {
+        return std::string_view(m_outgoing).substr(m_sent);
+    }
+    return m_shared == nullptr ? std::string_view{} : std::string_view(*m_shared).substr(m_sharedSent);
+}
+
+void byte_channel::noteSent(std::size_t count)
+{
+    if (m_sent < m_outgoing.size()) {
+        m_sent += count;
+        return;
+    }
+    m_sharedSent += count;
+    if (m_sharedSent == m_shared->size()) {
+        m_shared.reset();
+        m_sharedSent = 0;
+    }
+}
+
+void byte_channel::dropUnsent()
+{
+    m_outgoing.clear();
+    m_sent = 0;
+    m_shared.reset();
+    m_sharedSent = 0;
+}
+
 void byte_channel::markDirty()
 {
     if (!m_isDirty && !m_isConnecting) {
@@ -256,7 +303,7 @@
 
 std::size_t byte_channel::pendingBytes() const
 {
-    return m_outgoing.size() - m_sent;
+    return m_outgoing.size() - m_sent + (m_shared == nullptr ? 0 : m_shared->size() - m_sharedSent);
 }
 
 void byte_channel::updateInterest()
@@ -354,8 +401,8 @@
         return;
     }
     const auto self = shared_from_this();
-    while (pendingBytes() > 0) {
-        const ssize_t count = send(m_descriptor, m_outgoing.data() + m_sent, pendingBytes(), MSG_NOSIGNAL);
+    for (auto bytes = unsent(); !bytes.empty(); bytes = unsent()) {
+        const ssize_t count = send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (count < 0) {
             if (errno == EAGAIN || errno == EINTR) {
                 updateInterest();
@@ -364,8 +411,7 @@
             // Bytes that the peer sent before it closed may still be readable.
             m_sendFailure = closeReasonOf(errno);
             if (m_isReading && !m_closesAfterFlush) {
-                m_outgoing.clear();
-                m_sent = 0;
+                dropUnsent();
                 readAvailable();
             }
             if (m_descriptor >= 0) {
@@ -373,7 +419,7 @@
             }
             return;
         }
-        m_sent += static_cast<std::size_t>(count);
+        noteSent(static_cast<std::size_t>(count));
         if (m_closesAfterFlush) {
             closeWithin(flushTimeout);
         }
--- a/src/net/byte_channel.h
+++ b/src/net/byte_channel.h
@@ -88,6 +88,9 @@
     /// Queues bytes for sending at the end of the wake-up. Ignored once the channel is closed or closing.
     void write(std::string_view bytes);
 
+    /// Queues bytes after those that were written before, without a copy of them. Another write() before they are sent copies the rest.
+    void writeShared(std::shared_ptr<const std::string> bytes);
+
     /// Closes the channel once all written bytes have been passed to the kernel, and then calls onClosed. onBytes is not called after that.
     void closeAfterFlush();
 
@@ -121,6 +124,10 @@
     /// Closes the channel when the time is over; replaces the time that was set before.
     void closeWithin(duration timeout);
     void markDirty();
+    /// The bytes to send next; empty if there are none.
+    [[nodiscard]] std::string_view unsent() const;
+    void noteSent(std::size_t count);
+    void dropUnsent();
 
     event_loop &m_loop;
     int m_descriptor;
@@ -128,6 +135,9 @@
     channel_hooks m_hooks;
     std::string m_outgoing;
     std::size_t m_sent = 0;
+    /// What follows m_outgoing, and how much of it has been sent.
+    std::shared_ptr<const std::string> m_shared;
+    std::size_t m_sharedSent = 0;
     std::uint32_t m_interest = 0;
     /// Connect timeout; after closeAfterFlush() the time until the channel closes at the latest.
     timer_id m_timer = 0;
