Connections are bounded by descriptors at every port

What callers saw: with as many callers as the limit permits and none of them idle, further connections were accepted all the same, until an entry had no descriptors for endpoints and its log. The ports of readiness, metrics and of other entries had no limit, no time limit and took bodies of 4 MB.

Cause: the limit closed idle connections only. A failed accept left the listener readable, so the loop ran without pause. Connections that wait for their callers' end after the last answer were not counted.

Change: at the limit the connection that has been idle longest gives way, then the one whose request has stood still longest before it was whole; if all are being answered, the new one is closed. Chosen some at a time, as a choice looks at all. 64 connections to readiness and metrics, 256 of other entries, with small requests and time limits; max_fds / 32 that wait for their caller's end. 128 connections are accepted before others are read, and accepting pauses for 100 ms without descriptors.

What follows a failed accept has no test.

--- a/src/evidence/decision.cpp
+++ b/src/evidence/decision.cpp
@@ -124,6 +124,8 @@
         return "log_lines_dropped";
     case event_number::memory_relieved:
         return "memory_relieved";
+    case event_number::connections_refused:
+        return "connections_refused";
     case event_number::duty_taken:
         return "duty_taken";
     case event_number::duty_lost:
--- a/src/evidence/decision.h
+++ b/src/evidence/decision.h
@@ -71,6 +71,7 @@
     settings_reloaded = 606,
     log_lines_dropped = 607,
     memory_relieved = 608,
+    connections_refused = 609,
     duty_taken = 701,
     duty_lost = 702,
     usage_reported = 703,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,7 +18,7 @@
 {
 
 /// Timeouts of connections to endpoints.
-constexpr channel_options endpointChannel{.peerTimeout = std::chrono::milliseconds(1000), .connectTimeout = std::chrono::milliseconds(200)};
+const channel_options endpointChannel{.peerTimeout = std::chrono::milliseconds(1000), .connectTimeout = std::chrono::milliseconds(200)};
 
 /// Period of onTick().
 constexpr std::chrono::milliseconds tickPeriod{100};
@@ -54,6 +54,9 @@
 /// Path of the metrics, which are served in the Prometheus text format.
 constexpr std::string_view metricsPath = "/metrics";
 
+/// Share of the descriptors that closed connections may keep until their callers close too.
+constexpr std::size_t lingerDivisor = 32;
+
 /// Shares of the instance's memory that the messages of callers may take, and among them long requests that are whole. docs/CAPACITY.md has the sum.
 constexpr double bufferMemoryShare = 0.4;
 constexpr double runningMemoryShare = 0.25;
@@ -86,14 +89,6 @@
     return maxRereadDelay * static_cast<std::int64_t>(std::hash<std::string>{}(instance) % steps) / static_cast<std::int64_t>(steps);
 }
 
-caller_options callerOptions(const caller_limits &limits, const std::shared_ptr<memory_ledger> &ledger)
-{
-    return {.bounds = {.headBytes = limits.maxHeadBytes, .bodyBytes = limits.maxBodyBytes},
-            .headTimeout = limits.headTimeout,
-            .idleTimeout = limits.idleTimeout,
-            .ledger = ledger};
-}
-
 void answerWithoutBody(caller_connection &caller, int status)
 {
     std::string head;
@@ -159,6 +154,7 @@
                            .onEpoch = [this](std::int64_t epoch) { m_declarationsFollower.noteEpoch(epoch); },
                            .onPassedOver = [this] { m_streams.onPassedOver(std::nullopt, m_loop.now()); },
                            .demandPause = [this] { return listDemandPause(m_planner.liveEntries(m_loop.now())); }})
+    , m_lingers(std::make_shared<linger_limit>(linger_limit{.most = m_options.settings.maxDescriptors / lingerDivisor}))
     , m_callerHooks(std::make_shared<caller_hooks>(
           caller_hooks{.onRequest = [this](const auto &caller, received_request &&request) { onRequest(caller, std::move(request)); },
                        .onDisconnected = [this](caller_connection &caller) { onCallerDisconnected(caller); },
@@ -215,10 +211,7 @@
 
 void gateway::listen()
 {
-    const auto acceptProbe = [this](int descriptor) {
-        const auto caller = caller_connection::adopt(m_loop, descriptor, {}, m_readinessHooks);
-        m_readinessCallers.add(caller);
-    };
+    const auto acceptProbe = [this](int descriptor) { onReadinessCaller(descriptor); };
     m_callerListener = std::make_unique<channel_listener>(m_loop, m_options.settings.callerAddress, [this](int descriptor) { onCaller(descriptor); });
     m_readinessListener = std::make_unique<channel_listener>(m_loop, m_options.settings.readinessAddress, acceptProbe);
     if (!m_options.settings.metricsAddress) {
@@ -416,14 +409,6 @@
     return m_newestPeerVersion > declarationsVersion() && sinceStart < startCatchUpTime;
 }
 
-void gateway::onCaller(int descriptor)
-{
-    enforceCallerLimit();
-    const auto limits = m_context.table == nullptr ? caller_limits{} : m_context.table->declarations().limits;
-    const auto caller = caller_connection::adopt(m_loop, descriptor, callerOptions(limits, m_context.buffers), m_callerHooks);
-    m_callers.add(caller);
-}
-
 void gateway::onRequest(const std::shared_ptr<caller_connection> &caller, received_request &&request)
 {
     if (m_leavingSince) {
@@ -560,7 +545,9 @@
     onStreamTick();
     watchMemory(m_context, m_callers);
     m_pool.closeExpired();
-    closeStaleCallers();
+    const auto limits = m_context.table == nullptr ? caller_limits{} : m_context.table->declarations().limits;
+    closeStaleCallers(m_callers, limits.headTimeout, limits.idleTimeout);
+    closeStaleCallers(m_readinessCallers, caller_options{}.headTimeout, caller_options{}.idleTimeout);
     if (m_duties != nullptr) {
         m_duties->onTick();
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -63,9 +63,13 @@
     void onEndpointRecord(const keyed_record &record, record_timing timing);
     void removeEndpoint(const std::string &id, std::string_view reason);
     void onTick();
-    void closeStaleCallers();
-    /// Closes the caller connection that has been idle longest if their number has reached its limit.
-    void enforceCallerLimit();
+    void onReadinessCaller(int descriptor);
+    [[nodiscard]] caller_options callerOptions();
+    /// Closes connections that are idle, and refuses requests that do not get on, for longer than permitted.
+    void closeStaleCallers(const caller_set &callers, duration headTimeout, duration idleTimeout);
+    /// Closes a connection if their number has reached its limit. Returns false if all are being answered.
+    [[nodiscard]] bool makeRoom(caller_set &callers, std::size_t most);
+    void refuseConnection(int descriptor);
     void beginLeaving();
     void continueLeaving();
     [[nodiscard]] bool isReady() const;
@@ -117,6 +121,7 @@
     std::unique_ptr<endpoint_history> m_endpointHistory;
     std::unique_ptr<peer_exchange> m_peers;
     std::unique_ptr<peer_records> m_peerRecords;
+    std::shared_ptr<linger_limit> m_lingers;
     std::shared_ptr<const caller_hooks> m_callerHooks;
     std::shared_ptr<const caller_hooks> m_readinessHooks;
     std::unique_ptr<channel_listener> m_callerListener;
@@ -124,6 +129,7 @@
     std::unique_ptr<channel_listener> m_metricsListener;
     caller_set m_callers;
     caller_set m_readinessCallers;
+    time_point m_connectionsRefusedAt;
     std::unordered_map<caller_connection *, std::weak_ptr<request_session>> m_sessions;
     /// Endpoints whose records were removed around an outage of the log, and when the removal takes effect.
     std::map<std::string, time_point> m_pendingRemovals;
--- a/src/gateway/gateway_callers.cpp
+++ b/src/gateway/gateway_callers.cpp
@@ -1,6 +1,8 @@
 // Connections of callers of an entry.
 #include "gateway/gateway.h"
 
+#include <unistd.h>
+
 namespace wisteriashunt
 {
 
@@ -10,6 +12,17 @@
 /// Descriptors reserved for connections to endpoints, the log and peers, and for files.
 constexpr std::size_t reservedDescriptors = 1200;
 
+/// Most connections to the ports of readiness and metrics, which a balancer and a few tools use, and the bounds of requests there.
+constexpr std::size_t maxReadinessCallers = 64;
+constexpr request_bounds readinessBounds{.headBytes = 16 * 1024, .bodyBytes = 64 * 1024};
+
+constexpr std::chrono::seconds refusalLogPeriod{1};
+
+std::size_t maxCallers(std::size_t maxDescriptors)
+{
+    return maxDescriptors > 2 * reservedDescriptors ? maxDescriptors - reservedDescriptors : maxDescriptors / 2;
+}
+
 } // namespace
 
 void gateway::onCallerDisconnected(caller_connection &caller)
@@ -25,29 +38,73 @@
     }
 }
 
-void gateway::enforceCallerLimit()
+caller_options gateway::callerOptions()
 {
-    const std::size_t maxCallers = m_options.settings.maxDescriptors > 2 * reservedDescriptors ? m_options.settings.maxDescriptors - reservedDescriptors
-                                                                                               : m_options.settings.maxDescriptors / 2;
-    if (m_callers.all().size() < maxCallers) {
+    const auto limits = m_context.table == nullptr ? caller_limits{} : m_context.table->declarations().limits;
+    return {.bounds = {.headBytes = limits.maxHeadBytes, .bodyBytes = limits.maxBodyBytes},
+            .headTimeout = limits.headTimeout,
+            .idleTimeout = limits.idleTimeout,
+            .ledger = m_context.buffers,
+            .lingers = m_lingers};
+}
+
+void gateway::onCaller(int descriptor)
+{
+    if (!makeRoom(m_callers, maxCallers(m_options.settings.maxDescriptors))) {
+        refuseConnection(descriptor);
         return;
     }
-    if (const auto oldest = m_callers.longestIdle()) {
-        oldest->closeWhenIdle();
+    m_callers.add(caller_connection::adopt(m_loop, descriptor, callerOptions(), m_callerHooks));
+}
+
+void gateway::onReadinessCaller(int descriptor)
+{
+    if (!makeRoom(m_readinessCallers, maxReadinessCallers)) {
+        refuseConnection(descriptor);
+        return;
     }
+    m_readinessCallers.add(caller_connection::adopt(m_loop, descriptor, {.bounds = readinessBounds, .lingers = m_lingers}, m_readinessHooks));
 }
 
-void gateway::closeStaleCallers()
+bool gateway::makeRoom(caller_set &callers, std::size_t most)
 {
-    const auto limits = m_context.table == nullptr ? caller_limits{} : m_context.table->declarations().limits;
-    std::vector<std::shared_ptr<caller_connection>> stale;
-    for (const auto &[address, caller] : m_callers.all()) {
+    if (callers.all().size() < most) {
+        return true;
+    }
+    if (const auto chosen = callers.nextToClose()) {
+        m_counters.countLabelled("connections_closed_total", "reason", "limit", chosen->isIdle() ? "idle" : "incoming");
+        chosen->closeNow();
+        return true;
+    }
+    return false;
+}
+
+void gateway::refuseConnection(int descriptor)
+{
+    ::close(descriptor);
+    m_counters.countLabelled("connections_closed_total", "reason", "limit", "new");
+    if (m_loop.now() - m_connectionsRefusedAt < refusalLogPeriod) {
+        return;
+    }
+    m_connectionsRefusedAt = m_loop.now();
+    m_log.write(event_number::connections_refused,
+                {{"callers", std::to_string(m_callers.all().size())}, {"readiness_callers", std::to_string(m_readinessCallers.all().size())}});
+}
+
+void gateway::closeStaleCallers(const caller_set &callers, duration headTimeout, duration idleTimeout)
+{
+    std::vector<std::shared_ptr<caller_connection>> idle;
+    for (const auto &[address, caller] : callers.all()) {
         const auto quiet = m_loop.now() - caller->lastActivity();
-        if ((caller->isIdle() && quiet > limits.idleTimeout) || (caller->hasPartialRequest() && quiet > limits.headTimeout)) {
-            stale.push_back(caller);
+        if (caller->isIdle()) {
+            if (quiet > idleTimeout) {
+                idle.push_back(caller);
+            }
+        } else if (caller->hasPartialRequest() && quiet > headTimeout) {
+            idle.push_back(caller);
         }
     }
-    for (const auto &caller : stale) {
+    for (const auto &caller : idle) {
         caller->closeWhenIdle();
     }
 }
--- a/src/gateway/peer_records.cpp
+++ b/src/gateway/peer_records.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <unistd.h>
 
 namespace wisteriashunt
 {
@@ -27,6 +28,9 @@
 /// Asks for an answer by records that are read after the call. Entries of earlier versions answer without.
 constexpr std::string_view freshParameter = "&fresh=1";
 constexpr std::chrono::milliseconds connectTimeout{300};
+/// Most connections of other entries, and the bounds of their requests.
+constexpr std::size_t maxPeerCallers = 256;
+constexpr request_bounds peerRequestBounds{.headBytes = 2 * 1024, .bodyBytes = 0};
 constexpr int okStatus = 200;
 constexpr int notFoundStatus = 404;
 constexpr int unavailableStatus = 503;
@@ -121,8 +125,15 @@
                                                                 .onClosed = [this](caller_connection &caller) { m_callers.release(m_loop, caller); },
                                                                 .onFault = [](const auto &caller, read_fault) { caller->abort(); }}))
     , m_listener(std::make_unique<channel_listener>(loop, options.self, [this](int descriptor) {
-        const auto caller = caller_connection::adopt(m_loop, descriptor, {}, m_callerHooks);
-        m_callers.add(caller);
+        if (m_callers.all().size() >= maxPeerCallers) {
+            const auto chosen = m_callers.nextToClose();
+            if (chosen == nullptr) {
+                ::close(descriptor);
+                return;
+            }
+            chosen->closeNow();
+        }
+        m_callers.add(caller_connection::adopt(m_loop, descriptor, {.bounds = peerRequestBounds}, m_callerHooks));
     }))
 {
 }
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -50,7 +50,7 @@
     const std::weak_ptr<caller_connection> weak = connection;
     connection->m_channel = byte_channel::adopt(loop,
                                                 descriptor,
-                                                {.peerTimeout = callerPeerTimeout, .toleratesSlowReader = true},
+                                                {.peerTimeout = callerPeerTimeout, .toleratesSlowReader = true, .lingers = options.lingers},
                                                 {.onBytes =
                                                      [weak](std::string_view bytes) {
                                                          if (const auto self = weak.lock()) {
@@ -189,6 +189,7 @@
 std::size_t caller_connection::feed(std::string_view bytes)
 {
     if (!m_reader.hasBegun()) {
+        m_requestSince = m_loop.now();
         m_paceSince = m_loop.now();
         m_bytesBefore = 0;
         m_pace = 0;
@@ -340,6 +341,12 @@
     onChannelEnd();
 }
 
+void caller_connection::closeNow()
+{
+    m_channel->close();
+    onChannelEnd();
+}
+
 void caller_connection::closeWhenIdle()
 {
     if (m_isAnswering) {
@@ -365,6 +372,11 @@
     return hasPartialRequest() && m_reader.hasHead() ? &m_reader.partial() : nullptr;
 }
 
+time_point caller_connection::requestSince() const
+{
+    return m_requestSince;
+}
+
 time_point caller_connection::lastActivity() const
 {
     return m_lastActivity;
@@ -403,15 +415,40 @@
     return m_connections;
 }
 
-std::shared_ptr<caller_connection> caller_set::longestIdle() const
+std::shared_ptr<caller_connection> caller_set::nextToClose()
 {
-    std::shared_ptr<caller_connection> oldest;
+    for (int choices = 0; choices < 2; ++choices) {
+        while (!m_candidates.empty()) {
+            const auto [weak, lastActivity] = m_candidates.back();
+            m_candidates.pop_back();
+            const auto caller = weak.lock();
+            if (caller != nullptr && caller->lastActivity() == lastActivity && (caller->isIdle() || caller->hasPartialRequest())
+                && m_connections.count(caller.get()) > 0) {
+                return caller;
+            }
+        }
+        chooseCandidates();
+    }
+    return nullptr;
+}
+
+void caller_set::chooseCandidates()
+{
+    constexpr std::size_t shareDivisor = 32;
+    std::vector<caller_connection *> all;
     for (const auto &[address, caller] : m_connections) {
-        if (caller->isIdle() && (oldest == nullptr || caller->lastActivity() < oldest->lastActivity())) {
-            oldest = caller;
+        if (caller->isIdle() || caller->hasPartialRequest()) {
+            all.push_back(address);
         }
     }
-    return oldest;
+    const auto goesBefore = [](const caller_connection *left, const caller_connection *right) {
+        return left->isIdle() != right->isIdle() ? left->isIdle() : left->lastActivity() < right->lastActivity();
+    };
+    const auto count = std::min(all.size(), m_connections.size() / shareDivisor + 1);
+    std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(count), all.end(), goesBefore);
+    for (auto position = count; position > 0; --position) {
+        m_candidates.push_back({.caller = all[position - 1]->weak_from_this(), .lastActivity = all[position - 1]->lastActivity()});
+    }
 }
 
 } // namespace wisteriashunt
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 namespace wisteriashunt
 {
@@ -38,6 +39,7 @@
     duration idleTimeout = std::chrono::seconds(15);
     /// Counts what connections hold: requests that are not whole or wait for their turn, and answers that are not sent.
     std::shared_ptr<memory_ledger> ledger = std::make_shared<memory_ledger>();
+    std::shared_ptr<linger_limit> lingers = nullptr;
 };
 
 /// What a connection holds, and how a request that is coming in gets on.
@@ -91,6 +93,9 @@
     /// Drops the requests that wait for their turn and closes the connection after the current answer.
     void dropRequestsAhead();
 
+    /// Closes the connection at once. Its hooks are called as if the caller had disconnected.
+    void closeNow();
+
     /// Closes the connection after the current response, or once pending bytes are sent if no request is being answered.
     void closeWhenIdle();
 
@@ -98,6 +103,8 @@
     [[nodiscard]] bool isIdle() const;
     /// True if the start of a request has arrived but not all of it.
     [[nodiscard]] bool hasPartialRequest() const;
+    /// When the first bytes of the request that is coming in arrived.
+    [[nodiscard]] time_point requestSince() const;
     /// When bytes last arrived or a response was last completed.
     [[nodiscard]] time_point lastActivity() const;
     /// The request that is coming in if its head is whole, otherwise nullptr.
@@ -140,6 +147,7 @@
     std::string m_ahead;
     std::size_t m_aheadBegin = 0;
     timer_id m_readLater = 0;
+    time_point m_requestSince;
     time_point m_lastActivity;
     /// Begin of the interval over which the pace is measured, what had arrived by then, and the pace before.
     time_point m_paceSince;
@@ -166,11 +174,23 @@
 
     [[nodiscard]] const connections &all() const;
 
-    /// Returns the idle connection whose last activity is longest ago; nullptr if none is idle.
-    [[nodiscard]] std::shared_ptr<caller_connection> longestIdle() const;
+    /// Returns the connection to close for a new one: the one that has been idle longest or, if none is idle, the one whose request has stood
+    /// still longest before it was whole. nullptr if all are being answered.
+    [[nodiscard]] std::shared_ptr<caller_connection> nextToClose();
 
 private:
+    /// A connection that was chosen, and its last activity by then.
+    struct candidate
+    {
+        std::weak_ptr<caller_connection> caller;
+        time_point lastActivity;
+    };
+
+    void chooseCandidates();
+
     connections m_connections;
+    /// The next to close, the last one first. Chosen in advance, as each choice looks at all connections.
+    std::vector<candidate> m_candidates;
 };
 
 } // namespace wisteriashunt
--- a/src/net/byte_channel.cpp
+++ b/src/net/byte_channel.cpp
@@ -7,6 +7,7 @@
 #include <cerrno>
 #include <charconv>
 #include <cstring>
+#include <limits>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
@@ -29,6 +30,12 @@
 /// Reads of one channel in a row, so that a peer that sends without pause does not keep the others waiting.
 constexpr int maxReadsPerWakeUp = 8;
 
+/// Connections that are accepted before those that are open are read again.
+constexpr int maxAcceptsPerWakeUp = 128;
+
+/// Time until the next try after there were no descriptors.
+constexpr std::chrono::milliseconds acceptPause{100};
+
 /// Connections that may wait to be accepted. Covers a burst of a few hundred callers.
 constexpr int listenBacklog = 1024;
 
@@ -252,6 +259,9 @@
     ::close(m_descriptor);
     m_descriptor = -1;
     m_isEndUnread = false;
+    if (std::exchange(m_isLingering, false)) {
+        --m_options.lingers->open;
+    }
     if (const auto self = weak_from_this().lock()) {
         m_loop.retire(self);
     }
@@ -440,6 +450,14 @@
 
 void byte_channel::linger()
 {
+    if (m_options.lingers != nullptr) {
+        if (m_options.lingers->open >= m_options.lingers->most) {
+            closeAndNotify(close_reason::closed_here);
+            return;
+        }
+        ++m_options.lingers->open;
+        m_isLingering = true;
+    }
     // Closing while the peer is still sending would reset the connection, and the peer could lose bytes that it has not read yet.
     shutdown(m_descriptor, SHUT_WR);
     m_hooks.onBytes = [](std::string_view) {};
@@ -484,13 +502,14 @@
 
 void channel_listener::close()
 {
-    onReady(EPOLLIN);
+    acceptUpTo(std::numeric_limits<int>::max());
     stopListening();
 }
 
 void channel_listener::stopListening()
 {
     if (m_descriptor >= 0) {
+        m_loop.cancel(m_pause);
         m_loop.unwatch(m_descriptor);
         ::close(m_descriptor);
         m_descriptor = -1;
@@ -499,13 +518,33 @@
 
 void channel_listener::onReady(std::uint32_t)
 {
-    while (m_descriptor >= 0) {
+    acceptUpTo(maxAcceptsPerWakeUp);
+}
+
+void channel_listener::acceptUpTo(int count)
+{
+    for (; m_descriptor >= 0 && count > 0; --count) {
         const int descriptor = accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (descriptor < 0) {
+            if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+                pauseAccepting();
+            }
             return;
         }
         m_onAccept(descriptor);
     }
 }
 
+void channel_listener::pauseAccepting()
+{
+    if (m_pause != 0) {
+        return;
+    }
+    m_loop.unwatch(m_descriptor);
+    m_pause = m_loop.schedule(m_loop.now() + acceptPause, [this] {
+        m_pause = 0;
+        m_loop.watch(m_descriptor, EPOLLIN, this);
+    });
+}
+
 } // namespace wisteriashunt
--- a/src/net/byte_channel.h
+++ b/src/net/byte_channel.h
@@ -54,6 +54,13 @@
     std::function<void()> onDrained = [] {};
 };
 
+/// Connections that wait for their peer to close after their last bytes, of all channels that share this object.
+struct linger_limit
+{
+    std::size_t most = 0;
+    std::size_t open = 0;
+};
+
 /// Timeouts of a channel.
 struct channel_options
 {
@@ -68,6 +75,8 @@
     /// Whether an end of the connection that comes while reading is paused is reported only after the bytes before it have been read. Otherwise
     /// it is reported at once, and these bytes are lost.
     bool deliversAllBytes = false;
+    /// Beyond the limit, a channel does not wait for its peer after closeAfterFlush(); no limit if unset.
+    std::shared_ptr<linger_limit> lingers = nullptr;
 };
 
 /// One TCP connection. Owned by shared_ptr so that it stays alive until the end of the wake-up that closes it.
@@ -149,6 +158,7 @@
     std::optional<close_reason> m_sendFailure;
     bool m_isDirty = false;
     bool m_closesAfterFlush = false;
+    bool m_isLingering = false;
     /// Keeps the channel alive after closeAfterFlush() until its bytes are sent and the peer closes, or the time for that is over.
     std::shared_ptr<byte_channel> m_closing;
 };
@@ -175,11 +185,15 @@
     void close();
 
 private:
+    void acceptUpTo(int count);
+    /// Stops watching for a while, since the event would be reported without end while there are no descriptors.
+    void pauseAccepting();
     void stopListening();
 
     event_loop &m_loop;
     int m_descriptor;
     accept_hook m_onAccept;
+    timer_id m_pause = 0;
 };
 
 } // namespace wisteriashunt
