The time for a head counts from its first byte, and not in the body

What callers saw: a caller whose body paused for longer than header_timeout_ms was cut off without an answer; a head of which a byte came now and then was never given up and kept its connection.

Cause: both were measured from the last byte that had arrived, and the time for the head held for the body as well.

Change: a head that is not whole header_timeout_ms after its first byte, and a request of which nothing has come for idle_timeout_ms, are answered 408: neither has run. A body's pace has no other bound; the need of others ends a slow one.

Evidence: gateway_test AHeadThatTricklesIsRefusedAfterItsTime and ABodyMayPauseForLongerThanAHeadMayTake failed before (no answer after 9.6 s; cut off after 4 s) and pass now.

--- a/src/gateway/gateway_callers.cpp
+++ b/src/gateway/gateway_callers.cpp
@@ -94,19 +94,30 @@
 void gateway::closeStaleCallers(const caller_set &callers, duration headTimeout, duration idleTimeout)
 {
     std::vector<std::shared_ptr<caller_connection>> idle;
+    std::vector<std::shared_ptr<caller_connection>> late;
     for (const auto &[address, caller] : callers.all()) {
         const auto quiet = m_loop.now() - caller->lastActivity();
         if (caller->isIdle()) {
             if (quiet > idleTimeout) {
                 idle.push_back(caller);
             }
-        } else if (caller->hasPartialRequest() && quiet > headTimeout) {
-            idle.push_back(caller);
+        } else if (caller->hasPartialRequest()) {
+            const bool isHeadLate = caller->partialRequest() == nullptr && m_loop.now() - caller->requestSince() > headTimeout;
+            if (isHeadLate || quiet > idleTimeout) {
+                late.push_back(caller);
+            }
         }
     }
     for (const auto &caller : idle) {
         caller->closeWhenIdle();
     }
+    for (const auto &caller : late) {
+        constexpr int requestTimeout = 408;
+        std::string head;
+        appendResponseHead(head, requestTimeout, reasonPhrase(requestTimeout), {});
+        m_counters.countLabelled("requests_total", "class", "-", "incoming_timed_out");
+        caller->refusePartialRequest(std::move(head), {});
+    }
 }
 
 } // namespace wisteriashunt
--- a/test/gateway_test.cpp
+++ b/test/gateway_test.cpp
@@ -293,6 +293,34 @@
     EXPECT_LT(replies.find("/book/1"), replies.find("/book/2")) << replies;
 }
 
+// A caller that sends a byte now and then must not keep a connection for ever.
+TEST_F(gateway_test, AHeadThatTricklesIsRefusedAfterItsTime)
+{
+    start([](const received_request &got) { return ok(got, "whole"); });
+    raw_caller caller(m_ports.callers);
+    caller.send("POST /book/1 HTTP/1.1\r\nX-Slow: ");
+    constexpr int bytes = 24;
+    for (int i = 0; i < bytes && !caller.hasAnswer(); ++i) {
+        caller.send("x");
+        std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    }
+    ASSERT_TRUE(caller.hasAnswer());
+    EXPECT_TRUE(caller.readAll().starts_with("HTTP/1.1 408 ")) << "not run, and never will be";
+    EXPECT_TRUE(m_endpoints.front()->requests().empty());
+}
+
+// The time for a head was also the longest pause in a body, after which the connection was closed without an answer.
+TEST_F(gateway_test, ABodyMayPauseForLongerThanAHeadMayTake)
+{
+    start([](const received_request &got) { return ok(got, got.body); });
+    raw_caller caller(m_ports.callers);
+    const auto sent = request("/book/1", "Connection: close\r\n", "first and second");
+    caller.send(sent.substr(0, sent.size() - 6));
+    std::this_thread::sleep_for(std::chrono::milliseconds(4000));
+    caller.send(sent.substr(sent.size() - 6));
+    EXPECT_TRUE(caller.readAll().ends_with("first and second"));
+}
+
 TEST_F(gateway_test, ARequestWhoseCallerHasLeftDoesNotReachAnEndpointThatReadsLater)
 {
     // The endpoint reads nothing for now, and takes so little that most of the request stays at the entry.
