Receive buffers of callers have a size

What callers saw: bytes that are received and not read count as memory of the process. 60 long bodies at once left 44 MB in the kernel's queues of an entry of 110 MB.

Cause: neither listeners nor connections set a size, so the kernel grew each buffer up to megabytes.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -212,13 +212,15 @@
 void gateway::listen()
 {
     const auto acceptProbe = [this](int descriptor) { onReadinessCaller(descriptor); };
-    m_callerListener = std::make_unique<channel_listener>(m_loop, m_options.settings.callerAddress, [this](int descriptor) { onCaller(descriptor); });
-    m_readinessListener = std::make_unique<channel_listener>(m_loop, m_options.settings.readinessAddress, acceptProbe);
+    const listener_options buffers{.receiveBufferBytes = callerReceiveBufferBytes};
+    m_callerListener = std::make_unique<channel_listener>(
+        m_loop, m_options.settings.callerAddress, [this](int descriptor) { onCaller(descriptor); }, buffers);
+    m_readinessListener = std::make_unique<channel_listener>(m_loop, m_options.settings.readinessAddress, acceptProbe, buffers);
     if (!m_options.settings.metricsAddress) {
         return;
     }
     try {
-        m_metricsListener = std::make_unique<channel_listener>(m_loop, *m_options.settings.metricsAddress, acceptProbe);
+        m_metricsListener = std::make_unique<channel_listener>(m_loop, *m_options.settings.metricsAddress, acceptProbe, buffers);
     } catch (const shunt_error &error) {
         // An entry without metrics still serves callers.
         m_log.write(event_number::settings_fault, {{"reason", error.what()}});
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -40,6 +40,9 @@
     std::function<gateway_settings()> reloadSettings;
 };
 
+/// Size of the kernel's receive buffers of callers.
+inline constexpr int callerReceiveBufferBytes = 16 * 1024;
+
 /// An entry, which runs on the thread that calls run().
 class gateway
 {
--- a/src/gateway/gateway_callers.cpp
+++ b/src/gateway/gateway_callers.cpp
@@ -16,6 +16,10 @@
 constexpr std::size_t maxReadinessCallers = 64;
 constexpr request_bounds readinessBounds{.headBytes = 16 * 1024, .bodyBytes = 64 * 1024};
 
+/// Share of the memory that full receive buffers of callers may take. Connections beyond it get the least size.
+constexpr std::size_t receiveMemoryDivisor = 8;
+constexpr int leastReceiveBufferBytes = 4 * 1024;
+
 constexpr std::chrono::seconds refusalLogPeriod{1};
 
 std::size_t maxCallers(std::size_t maxDescriptors)
@@ -23,6 +27,12 @@
     return maxDescriptors > 2 * reservedDescriptors ? maxDescriptors - reservedDescriptors : maxDescriptors / 2;
 }
 
+/// Number of connections that get a full receive buffer.
+std::size_t fullReceiveBuffers(std::size_t maxMemoryBytes)
+{
+    return maxMemoryBytes / receiveMemoryDivisor / callerReceiveBufferBytes;
+}
+
 } // namespace
 
 void gateway::onCallerDisconnected(caller_connection &caller)
@@ -45,7 +55,8 @@
             .headTimeout = limits.headTimeout,
             .idleTimeout = limits.idleTimeout,
             .ledger = m_context.buffers,
-            .lingers = m_lingers};
+            .lingers = m_lingers,
+            .receiveBufferBytes = m_callers.all().size() < fullReceiveBuffers(m_options.settings.maxMemoryBytes) ? 0 : leastReceiveBufferBytes};
 }
 
 void gateway::onCaller(int descriptor)
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -69,6 +69,9 @@
                                                              self->onChannelDrained();
                                                          }
                                                      }});
+    if (options.receiveBufferBytes > 0) {
+        connection->m_channel->setReceiveBuffer(options.receiveBufferBytes);
+    }
     return connection;
 }
 
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -40,6 +40,8 @@
     /// Counts what connections hold: requests that are not whole or wait for their turn, and answers that are not sent.
     std::shared_ptr<memory_ledger> ledger = std::make_shared<memory_ledger>();
     std::shared_ptr<linger_limit> lingers = nullptr;
+    /// Size of the kernel's receive buffer; the listener's if 0.
+    int receiveBufferBytes = 0;
 };
 
 /// What a connection holds, and how a request that is coming in gets on.
--- a/src/net/byte_channel.cpp
+++ b/src/net/byte_channel.cpp
@@ -290,6 +290,11 @@
     });
 }
 
+void byte_channel::setReceiveBuffer(int bytes)
+{
+    setOption(m_descriptor, SOL_SOCKET, SO_RCVBUF, bytes);
+}
+
 void byte_channel::setReading(bool isReading)
 {
     m_isReading = isReading;
@@ -474,12 +479,15 @@
     m_hooks.onClosed(m_isConnecting ? close_reason::never_connected : reason);
 }
 
-channel_listener::channel_listener(event_loop &loop, const socket_address &address, accept_hook onAccept)
+channel_listener::channel_listener(event_loop &loop, const socket_address &address, accept_hook onAccept, const listener_options &options)
     : m_loop(loop)
     , m_descriptor(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
     , m_onAccept(std::move(onAccept))
 {
     setOption(m_descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
+    if (options.receiveBufferBytes > 0) {
+        setOption(m_descriptor, SOL_SOCKET, SO_RCVBUF, options.receiveBufferBytes);
+    }
     const sockaddr_in native = toSockaddr(address);
     if (bind(m_descriptor, reinterpret_cast<const sockaddr *>(&native), sizeof native) != 0 || listen(m_descriptor, listenBacklog) != 0) {
         throw shunt_error(error_kind::not_ready, "cannot listen on " + toString(address) + ": " + std::strerror(errno));
--- a/src/net/byte_channel.h
+++ b/src/net/byte_channel.h
@@ -79,6 +79,13 @@
     std::shared_ptr<linger_limit> lingers = nullptr;
 };
 
+/// Settings of a listener.
+struct listener_options
+{
+    /// Size of the kernel's receive buffers of accepted connections, and of those that wait to be accepted; the kernel's default if 0.
+    int receiveBufferBytes = 0;
+};
+
 /// One TCP connection. Owned by shared_ptr so that it stays alive until the end of the wake-up that closes it.
 class byte_channel final : public io_handler, public std::enable_shared_from_this<byte_channel>
 {
@@ -109,6 +116,9 @@
     /// Like close(), but the peer sees a reset.
     void reset();
 
+    /// Sets the size of the kernel's receive buffer. The peer may still send what it has been offered before.
+    void setReceiveBuffer(int bytes);
+
     /// Pauses or resumes reading. See channel_options::deliversAllBytes for an end of the connection while reading is paused.
     void setReading(bool isReading);
 
@@ -171,7 +181,7 @@
     using accept_hook = std::function<void(int descriptor)>;
 
     /// Throws shunt_error(not_ready) if the address cannot be bound.
-    channel_listener(event_loop &loop, const socket_address &address, accept_hook onAccept);
+    channel_listener(event_loop &loop, const socket_address &address, accept_hook onAccept, const listener_options &options = {});
     ~channel_listener() override;
     channel_listener(const channel_listener &) = delete;
     channel_listener &operator=(const channel_listener &) = delete;
