Long requests that are whole may take a third of the memory

What callers saw: of 29 uploads of 4 MB within 2 s at an entry of 110 MB, 6 were served.

Cause: whole requests of 64 kB and more were refused while they took a quarter of the memory, though the limit of all messages has room for more.

Change: a third. The ledger of all messages is a member of its own, as the context used it before it was initialised as a whole.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -59,7 +59,7 @@
 
 /// Shares of the instance's memory that the messages of callers may take, and among them long requests that are whole. docs/CAPACITY.md has the sum.
 constexpr double bufferMemoryShare = 0.4;
-constexpr double runningMemoryShare = 0.25;
+constexpr double runningMemoryShare = 1.0 / 3;
 
 std::size_t shareOf(std::size_t bytes, double share)
 {
@@ -111,6 +111,7 @@
     , m_quarantine({.entryKey = hashText(m_options.settings.instance)})
     , m_pool(m_loop, {.channel = endpointChannel})
     , m_crashes(m_loop, m_log, m_pool, {.channel = endpointChannel}, [this](const endpoint_crash &crash) { onEndpointCrash(crash); })
+    , m_buffers(std::make_shared<memory_ledger>(shareOf(m_options.settings.maxMemoryBytes, bufferMemoryShare)))
     , m_context{.loop = m_loop,
                 .dialect = m_options.dialect,
                 .log = m_log,
@@ -123,9 +124,9 @@
                 .counters = m_counters,
                 .retryOptions = m_options.settings.retries,
                 .hedging = hedge_policy({.limits = m_options.settings.hedging, .window = m_options.settings.retries.window}),
-                .buffers = std::make_shared<memory_ledger>(shareOf(m_options.settings.maxMemoryBytes, bufferMemoryShare)),
-                .running = std::make_shared<memory_ledger>(shareOf(m_options.settings.maxMemoryBytes, runningMemoryShare), m_context.buffers),
-                .memory = {.budgetBytes = m_context.buffers->limitBytes()}}
+                .buffers = m_buffers,
+                .running = std::make_shared<memory_ledger>(shareOf(m_options.settings.maxMemoryBytes, runningMemoryShare), m_buffers),
+                .memory = {.budgetBytes = m_buffers->limitBytes()}}
     , m_declarationsFollower(m_loop,
                              m_log,
                              m_options.logDialect,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -115,6 +115,7 @@
     endpoint_pool m_pool;
     endpoint_crash_watch m_crashes;
     metrics m_counters;
+    std::shared_ptr<memory_ledger> m_buffers;
     gateway_context m_context;
     log_follower m_declarationsFollower;
     log_follower m_endpointsFollower;
