--- a/test/broken_answer_test.cpp
+++ b/test/broken_answer_test.cpp
@@ -321,7 +321,7 @@
     const auto handle = [=](const received_request &got) {
         const auto after = findHeader(got.headers, "last-event-id");
         return !after ? scripted_response{.parts = {okHead(got) + "\r\n" + first + "id: 2\r\nda"}, .closes = true}
-                                : scripted_response{.parts = {okHead(got) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(second) + std::string(lastChunk)}};
+                      : scripted_response{.parts = {okHead(got) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(second) + std::string(lastChunk)}};
     };
     start(handle, handle);
     const auto view = viewOf(callOnce(request("/draft/")));
