Requests that run leave room for their answers

What callers would see: if short requests at a slow endpoint took all memory for messages, each answer that is collected would be given up with 502, though its request had run, and every read of any caller would look at all connections.

Cause: short requests were admitted up to the whole limit, connections and answers count in it too, and an answer was given up as soon as it was exceeded. The copy of a short body for the endpoint was not counted.

--- a/src/gateway/memory_watch.cpp
+++ b/src/gateway/memory_watch.cpp
@@ -58,7 +58,10 @@
 
 void relieveMemory(gateway_context &context, const caller_set &callers)
 {
-    if (!context.buffers->isOver()) {
+    // What is over the limit then is requests that run, and each look goes through all connections.
+    constexpr std::chrono::milliseconds pause{20};
+    const bool hadNothing = context.nothingToRelieveAt && context.loop.now() - *context.nothingToRelieveAt < pause;
+    if (!context.buffers->isOver() || hadNothing) {
         return;
     }
     std::vector<std::shared_ptr<caller_connection>> connections;
@@ -75,6 +78,7 @@
     const auto taken = context.buffers->bytes();
     const auto steps = decideOnRelief(
         {.limitBytes = context.buffers->limitBytes()}, taken, holders, [&](std::size_t holder) { return rankOfIncoming(context, *connections[holder]); });
+    context.nothingToRelieveAt = steps.empty() ? std::optional(context.loop.now()) : std::nullopt;
     std::size_t refused = 0;
     for (const auto &step : steps) {
         auto &caller = *connections[step.holder];
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -135,7 +135,7 @@
         if (!run.isRunning()) {
             return;
         }
-        if (run.body.size() > m_context.maxAnswerBytes || m_context.buffers->isOver()) {
+        if (run.body.size() > m_context.maxAnswerBytes || m_context.dropsAnswerForMemory(run.body.size())) {
             run.exchange->close();
             onBroken(run, "answer_too_large", toString(run.head.framing));
         }
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -38,7 +38,7 @@
 {
     ++m_context.openSessions;
     m_isRefusedForMemory = m_context.refusesForMemory(m_body->size());
-    m_charge.set(m_request.heldBytes() + m_body->size());
+    m_charge.set(heldBytes());
 }
 
 request_session::~request_session()
@@ -46,6 +46,13 @@
     --m_context.openSessions;
 }
 
+std::size_t request_session::heldBytes() const
+{
+    // A short body is copied for the endpoint.
+    const auto copies = m_body->size() < longBodyBytes ? 2U : 1U;
+    return m_request.heldBytes() + copies * m_body->size() + m_metadata.prompt.size() * promptPartBytes;
+}
+
 std::optional<error_kind> request_session::admit()
 {
     m_table = m_context.table;
@@ -150,7 +157,7 @@
     m_fingerprint = fingerprintOf({.method = m_request.method, .target = m_request.target, .workspace = m_workspace, .body = *m_body});
     m_traits = m_placementRequest.hasPrompt ? sharedParts(m_metadata.prompt) : trait_set{};
     m_traits.insert({trait_kind::whole_request, m_fingerprint});
-    m_charge.set(m_request.heldBytes() + m_body->size() + m_metadata.prompt.size() * promptPartBytes);
+    m_charge.set(heldBytes());
     m_context.allowanceOf(m_service).onRequest(m_arrival);
     if (m_context.hedging.isOn()) {
         m_context.hedging.onRequest(m_service, m_context.planner.sharingEntries(m_arrival), m_arrival);
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -32,6 +32,8 @@
     void onCallerDisconnected();
 
 private:
+    /// Memory that the request takes.
+    [[nodiscard]] std::size_t heldBytes() const;
     /// Routes and authenticates the request. Returns the error to refuse it with, if any.
     [[nodiscard]] std::optional<error_kind> admit();
     /// Has the list of endpoints read before a stream is taken up whose origin follows from the list alone.
--- a/test/unruly_callers.h
+++ b/test/unruly_callers.h
@@ -5,6 +5,7 @@
 #include "crowd.h"
 #include "gateway_fixture.h"
 
+#include <atomic>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -124,6 +125,9 @@
         m_limits = limits;
         m_endpoints.push_back(std::make_unique<loopback_server>([this](const received_request &got) {
             noteRequest(got);
+            while (got.target.starts_with("/read/held") && m_held != nullptr && *m_held) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(10));
+            }
             return ok(got, got.target.starts_with("/read/long") ? std::string(answerBytes, 'x') : got.body);
         }));
         m_log.putEndpoint("e0", m_endpoints.front()->port());
@@ -207,6 +211,8 @@
 
     pid_t m_entry = 0;
     machine_limits m_limits;
+    /// Whether the endpoint holds requests for /read/held; none are held if unset.
+    std::atomic<std::atomic<bool> *> m_held{nullptr};
     std::unique_ptr<resource_watch> m_watch;
 
 private:
--- a/test/unruly_callers_test.cpp
+++ b/test/unruly_callers_test.cpp
@@ -2,6 +2,8 @@
 // stays within its memory and descriptors, and answers an ordinary request.
 #include "unruly_callers.h"
 
+#include <map>
+
 namespace wisteriashunt::testing
 {
 namespace
@@ -113,6 +115,34 @@
     withstand({bodies});
 }
 
+// Guards against giving up the answers of requests that run because they take all memory for messages.
+TEST_F(unruly_callers_test, RequestsThatRunForLongKeepTheirAnswers)
+{
+    startProcesses();
+    std::atomic<bool> isHeld{true};
+    m_held = &isHeld;
+    constexpr std::size_t callers = 900;
+    constexpr std::size_t bodyBytes = 60'000;
+    std::vector<std::unique_ptr<raw_caller>> all;
+    for (std::size_t i = 0; i < callers; ++i) {
+        all.push_back(std::make_unique<raw_caller>(m_ports.callers));
+        all.back()->send(head("/read/held") + "Content-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x'));
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    isHeld = false;
+    std::map<std::string, int> statuses;
+    for (const auto &caller : all) {
+        ++statuses[caller->readResponse().substr(0, 12)];
+    }
+    for (const auto &[status, count] : statuses) {
+        std::cout << status << ": " << count << '\n';
+    }
+    EXPECT_GT(statuses["HTTP/1.1 200"], 0);
+    EXPECT_EQ(statuses["HTTP/1.1 502"] + statuses[""], 0) << "requests that ran";
+    EXPECT_TRUE(isOrdinaryRequestServed()) << "after the crowd";
+    expectWithinLimits();
+}
+
 TEST_F(unruly_callers_test, SeveralCrowdsTwice)
 {
     startProcesses();
