A connection whose last answer is not sent yet is the last to give way

What callers would see: at the limit of callers, one that still reads its answer could be cut off as an idle connection. Found by reading; no test shows it.

Cause: a connection counts as idle once its answer is written, though parts of it may not be sent.

Change: such connections are chosen after idle ones and after requests that are not whole.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -1,6 +1,7 @@
 #include "http/caller_connection.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace wisteriashunt
 {
@@ -444,9 +445,11 @@
             all.push_back(address);
         }
     }
-    const auto goesBefore = [](const caller_connection *left, const caller_connection *right) {
-        return left->isIdle() != right->isIdle() ? left->isIdle() : left->lastActivity() < right->lastActivity();
+    const auto keyOf = [](const caller_connection *caller) {
+        const int order = !caller->isIdle() ? 1 : caller->pendingBytes() > 0 ? 2 : 0;
+        return std::pair(order, caller->lastActivity());
     };
+    const auto goesBefore = [&](const caller_connection *left, const caller_connection *right) { return keyOf(left) < keyOf(right); };
     const auto count = std::min(all.size(), m_connections.size() / shareDivisor + 1);
     std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(count), all.end(), goesBefore);
     for (auto position = count; position > 0; --position) {
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -177,7 +177,7 @@
     [[nodiscard]] const connections &all() const;
 
     /// Returns the connection to close for a new one: the one that has been idle longest or, if none is idle, the one whose request has stood
-    /// still longest before it was whole. nullptr if all are being answered.
+    /// still longest before it was whole, and at last one whose last answer is not sent yet. nullptr if all are being answered.
     [[nodiscard]] std::shared_ptr<caller_connection> nextToClose();
 
 private:
