Unfinished events and answers in parts to HTTP/1.0 callers are counted as they grow

What callers would see: an entry over its memory beside an endpoint that sends long events in small parts, or beside HTTP/1.0 callers that do not read.

Cause: the unfinished event of a stream was in no ledger. A part of an answer to an HTTP/1.0 caller was counted at the next tick only. Memory was freed when callers sent something or at a tick, not as answers to them grew. A whole request that was refused for memory was told to come back after 300 ms, one that was not whole after 1 s.

Change: runs count the unfinished event, every part counts as it is written, and memory is freed when an answer that grows brings the ledger over its limit. One delay for both refusals.

Measured: test_gateway and test_endless_bytes pass. Heads of answers stay outside the ledger.

--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -128,11 +128,7 @@
     }
     if (!isStreamSuccess(run)) {
         run.appendBody(bytes);
-        if (m_context.buffers->isOver()) {
-            m_context.onMemoryOver();
-        }
-        // The caller may have been given up to free memory.
-        if (!run.isRunning()) {
+        if (!freeMemory(run)) {
             return;
         }
         if (run.body.size() > m_context.maxAnswerBytes || m_context.dropsAnswerForMemory(run.body.size())) {
@@ -141,6 +137,10 @@
         }
     } else if (m_caller != nullptr) {
         forwardEvents(run, isEventStream(run) ? run.events.feed(bytes) : bytes);
+        run.updateCharge();
+        if (!freeMemory(run)) {
+            return;
+        }
         if (run.events.partialBytes() > m_context.maxEventBytes) {
             run.exchange->close();
             onBroken(run, "event_too_large", toString(run.head.framing));
@@ -153,6 +153,14 @@
     }
 }
 
+bool request_session::freeMemory(const upstream_attempt &run) const
+{
+    if (m_context.buffers->isOver()) {
+        m_context.onMemoryOver();
+    }
+    return run.isRunning();
+}
+
 void request_session::noteRunBegun(const upstream_attempt &run)
 {
     // A model request begins to run with its first token; any other runs if its endpoint answers it at all.
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request_session.h"
 
 #include "dispatch/request_fingerprint.h"
+#include "gateway/refusal.h"
 #include "membership/hash.h"
 
 #include <algorithm>
@@ -103,7 +104,7 @@
 void request_session::start()
 {
     if (const auto error = admit()) {
-        refuse(*error, defaultRetryAfter);
+        refuse(*error, m_isRefusedForMemory ? memoryRetryAfter : defaultRetryAfter);
         return;
     }
     if (m_needsListReading) {
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -86,6 +86,8 @@
     /// Records the limit on requests per second that the endpoint declares, or that it declares none.
     void noteRateLimit(const upstream_attempt &run);
     void onBody(upstream_attempt &run, std::string_view bytes);
+    /// Frees memory if messages take too much. Returns false if that has ended the run, as its caller did not read.
+    [[nodiscard]] bool freeMemory(const upstream_attempt &run) const;
     /// Reports that the endpoint has begun to run the request.
     void noteRunBegun(const upstream_attempt &run);
     void onComplete(upstream_attempt &run);
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace wisteriashunt
 {
@@ -16,7 +17,7 @@
 /// What a session knows of one run, from its sending until the session ends. At most two runs of a session go on at a time.
 struct upstream_attempt
 {
-    /// The ledger counts the bytes of the body for as long as this object exists.
+    /// The ledger counts what is kept of the answer's body for as long as this object exists.
     explicit upstream_attempt(std::shared_ptr<memory_ledger> ledger)
         : charge(std::move(ledger))
     {
@@ -27,13 +28,19 @@
     void appendBody(std::string_view bytes)
     {
         body.append(bytes);
-        charge.set(body.size());
+        updateCharge();
     }
     /// Gives up the body, which is no longer counted here.
     [[nodiscard]] std::string takeBody()
     {
-        charge.set(0);
-        return std::move(body);
+        auto taken = std::exchange(body, {});
+        updateCharge();
+        return taken;
+    }
+    /// Counts the answer anew, without its head and what was forwarded.
+    void updateCharge()
+    {
+        charge.set(body.size() + events.partialBytes());
     }
 
     memory_charge charge;
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -278,12 +278,12 @@
 {
     if (m_endsWithConnection) {
         m_channel->write(bytes);
-        return;
+    } else {
+        std::string chunk;
+        chunk.reserve(bytes.size() + 16);
+        appendChunk(chunk, bytes);
+        m_channel->write(chunk);
     }
-    std::string chunk;
-    chunk.reserve(bytes.size() + 16);
-    appendChunk(chunk, bytes);
-    m_channel->write(chunk);
     updateCharge();
 }
 
