A test of an entry that is suspended while all its callers send

Cause: that receive buffers of a suspended process could exceed its memory was suspected by reading and not tested; a soak had come to 106 MB of 110.

Change: 2,850 open and 1,000 new connections send while the entry is stopped by SIGSTOP, beside bodies that lack their last byte. A crowd can pause after its first bytes.

--- a/test/crowd.cpp
+++ b/test/crowd.cpp
@@ -123,6 +123,7 @@
 {
     caller.descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     caller.sent = 0;
+    caller.openedAt = std::chrono::steady_clock::now();
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(m_options.port);
@@ -136,6 +137,9 @@
     if (caller.sent < m_options.begin.size()) {
         return std::string_view(m_options.begin).substr(caller.sent);
     }
+    if (std::chrono::steady_clock::now() - caller.openedAt < m_options.pauseAfterBegin) {
+        return {};
+    }
     const auto afterBegin = caller.sent - m_options.begin.size();
     const auto repeatedBytes = m_options.repeated.size() * m_options.repeats;
     if (afterBegin < repeatedBytes) {
--- a/test/crowd.h
+++ b/test/crowd.h
@@ -18,6 +18,8 @@
     std::uint16_t port = 0;
     std::size_t connections = 0;
     std::string begin;
+    /// Time from the connection on before which nothing after `begin` is sent.
+    std::chrono::milliseconds pauseAfterBegin{0};
     std::string repeated;
     std::size_t repeats = 0;
     std::string trickled;
@@ -50,6 +52,7 @@
     {
         int descriptor = -1;
         std::size_t sent = 0;
+        std::chrono::steady_clock::time_point openedAt;
         std::chrono::steady_clock::time_point nextTrickle;
     };
 
--- a/test/unruly_callers_test.cpp
+++ b/test/unruly_callers_test.cpp
@@ -143,6 +143,29 @@
     expectWithinLimits();
 }
 
+// The kernel goes on to receive while a process is suspended.
+TEST_F(unruly_callers_test, ASuspendedEntryStaysWithinItsMemory)
+{
+    startProcesses();
+    std::vector<std::unique_ptr<crowd>> crowds;
+    const auto add = [&](crowd_options options) {
+        options.port = m_ports.callers;
+        crowds.push_back(std::make_unique<crowd>(std::move(options)));
+    };
+    const std::string block(64 * 1024, 'x');
+    add(longBody(11, 1));
+    add({.connections = 2850, .begin = head() + "X-Long: ", .pauseAfterBegin = std::chrono::milliseconds(2500), .repeated = block, .repeats = 1});
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    kill(m_entry, SIGSTOP);
+    add({.connections = 1000, .begin = head() + "X-Long: ", .repeated = block, .repeats = 1});
+    std::this_thread::sleep_for(std::chrono::seconds(4));
+    kill(m_entry, SIGCONT);
+    EXPECT_TRUE(isOrdinaryRequestServed()) << "beside the crowds";
+    crowds.clear();
+    EXPECT_TRUE(isOrdinaryRequestServed()) << "after the crowds";
+    expectWithinLimits();
+}
+
 TEST_F(unruly_callers_test, SeveralCrowdsTwice)
 {
     startProcesses();
