Which messages and connections are given up is decided in src/dispatch alone

RefusesNewRequestsBeforeItBreaksOffAnswers is renamed to what it checks now; its checks are the same.

Measured: no change of behaviour is meant; test_http, test_dispatch, test_gateway, test_explain and caller_limit_test pass.

--- a/src/dispatch/memory_guard.cpp
+++ b/src/dispatch/memory_guard.cpp
@@ -6,6 +6,26 @@
 namespace wisteriashunt
 {
 
+namespace
+{
+
+/// Share of the memory of messages that is kept for answers and connections.
+constexpr std::size_t reserveDivisor = 8;
+
+} // namespace
+
+bool hasRoomForRequest(const memory_use &use, std::size_t requestBytes)
+{
+    const auto limit = requestBytes < longBodyBytes ? use.limit - use.limit / reserveDivisor : use.runningLimit;
+    return limit == 0 || use.running + requestBytes <= limit;
+}
+
+bool hasRoomForAnswer(const memory_use &use, std::size_t answerBytes)
+{
+    const auto excess = answerBytes < longBodyBytes ? use.limit / reserveDivisor : 0;
+    return use.limit == 0 || use.taken <= use.limit + excess;
+}
+
 memory_decision decideOnMemory(const memory_options &options, std::size_t bodyBytes, const std::vector<std::size_t> &unreadAnswers)
 {
     constexpr std::size_t shortDivisor = 2;
--- a/src/gateway/explain_operation.cpp
+++ b/src/gateway/explain_operation.cpp
@@ -223,7 +223,7 @@
         describeRefusal(answer, context.table == nullptr ? error_kind::not_ready : error_kind::shutting_down, defaultRetryAfter);
         return answer;
     }
-    if (context.refusesForMemory(0)) {
+    if (!hasRoomForRequest(context.memoryUse(), 0)) {
         describeRefusal(answer, error_kind::overloaded, defaultRetryAfter);
         return answer;
     }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,7 +2,6 @@
 
 #include "dispatch/list_readings.h"
 #include "dispatch/turns.h"
-#include "gateway/explain_operation.h"
 #include "gateway/memory_watch.h"
 #include "gateway/quarantine_operations.h"
 #include "membership/hash.h"
@@ -51,8 +50,16 @@
 /// there are new ones.
 constexpr double maxRelayedDeclarationsAgeShare = 0.75;
 
-/// Path of the metrics, which are served in the Prometheus text format.
-constexpr std::string_view metricsPath = "/metrics";
+/// Descriptors reserved for connections to endpoints, the log and peers, and for files.
+constexpr std::size_t reservedDescriptors = 1200;
+
+/// Most connections to the ports of readiness and metrics, which a balancer and a few tools use.
+constexpr std::size_t maxReadinessCallers = 64;
+
+std::size_t maxCallers(std::size_t maxDescriptors)
+{
+    return maxDescriptors > 2 * reservedDescriptors ? maxDescriptors - reservedDescriptors : maxDescriptors / 2;
+}
 
 /// Share of the descriptors that closed connections may keep until their callers close too.
 constexpr std::size_t lingerDivisor = 32;
@@ -89,13 +96,6 @@
     return maxRereadDelay * static_cast<std::int64_t>(std::hash<std::string>{}(instance) % steps) / static_cast<std::int64_t>(steps);
 }
 
-void answerWithoutBody(caller_connection &caller, int status)
-{
-    std::string head;
-    appendResponseHead(head, status, reasonPhrase(status), {});
-    caller.answer(std::move(head), {});
-}
-
 } // namespace
 
 gateway::gateway(gateway_options options, const clock_source &clock)
@@ -155,6 +155,8 @@
                            .onEpoch = [this](std::int64_t epoch) { m_declarationsFollower.noteEpoch(epoch); },
                            .onPassedOver = [this] { m_streams.onPassedOver(std::nullopt, m_loop.now()); },
                            .demandPause = [this] { return listDemandPause(m_planner.liveEntries(m_loop.now())); }})
+    , m_callerLimit(maxCallers(m_options.settings.maxDescriptors), [this](std::string_view closed) { onClosedForLimit(closed); })
+    , m_readinessLimit(maxReadinessCallers, [this](std::string_view closed) { onClosedForLimit(closed); })
     , m_lingers(std::make_shared<linger_limit>(linger_limit{.most = m_options.settings.maxDescriptors / lingerDivisor}))
     , m_callerHooks(std::make_shared<caller_hooks>(
           caller_hooks{.onRequest = [this](const auto &caller, received_request &&request) { onRequest(caller, std::move(request)); },
@@ -210,24 +212,6 @@
     m_log.write(event_number::process_stopped, {{"open", std::to_string(m_context.openSessions)}});
 }
 
-void gateway::listen()
-{
-    const auto acceptProbe = [this](int descriptor) { onReadinessCaller(descriptor); };
-    const listener_options buffers{.receiveBufferBytes = callerReceiveBufferBytes};
-    m_callerListener = std::make_unique<channel_listener>(
-        m_loop, m_options.settings.callerAddress, [this](int descriptor) { onCaller(descriptor); }, buffers);
-    m_readinessListener = std::make_unique<channel_listener>(m_loop, m_options.settings.readinessAddress, acceptProbe, buffers);
-    if (!m_options.settings.metricsAddress) {
-        return;
-    }
-    try {
-        m_metricsListener = std::make_unique<channel_listener>(m_loop, *m_options.settings.metricsAddress, acceptProbe, buffers);
-    } catch (const shunt_error &error) {
-        // An entry without metrics still serves callers.
-        m_log.write(event_number::settings_fault, {{"reason", error.what()}});
-    }
-}
-
 void gateway::startPeerExchange()
 {
     const auto &self = m_options.settings.controlAddress;
@@ -412,52 +396,6 @@
     return m_newestPeerVersion > declarationsVersion() && sinceStart < startCatchUpTime;
 }
 
-void gateway::onRequest(const std::shared_ptr<caller_connection> &caller, received_request &&request)
-{
-    if (m_leavingSince) {
-        caller->closeWhenIdle();
-    }
-    const auto session = std::make_shared<request_session>(m_context, caller, std::move(request));
-    m_sessions[caller.get()] = session;
-    session->start();
-}
-
-void gateway::onReadinessRequest(const std::shared_ptr<caller_connection> &caller, const received_request &request)
-{
-    constexpr int ok = 200;
-    constexpr int unavailable = 503;
-    constexpr int notFound = 404;
-    if (request.target == metricsPath) {
-        std::string head;
-        appendResponseHead(head, ok, reasonPhrase(ok), {{"Content-Type", "text/plain; version=0.0.4"}});
-        caller->answer(std::move(head), m_counters.render());
-        return;
-    }
-    if (const auto answer = answerQuarantineOperation(request, m_quarantine, m_loop.now())) {
-        announceQuarantineChange();
-        std::string head;
-        appendResponseHead(head, answer->status, reasonPhrase(answer->status), {{"Content-Type", "text/plain"}});
-        caller->answer(std::move(head), answer->text);
-        return;
-    }
-    if (const auto answer = answerExplainOperation(request, m_context)) {
-        std::string head;
-        appendResponseHead(head, answer->status, reasonPhrase(answer->status), {{"Content-Type", answer->status == ok ? "application/json" : "text/plain"}});
-        caller->answer(std::move(head), answer->text);
-        return;
-    }
-    answerWithoutBody(*caller, request.target != m_options.dialect.readinessPath ? notFound : isReady() ? ok : unavailable);
-}
-
-void gateway::onFault(const std::shared_ptr<caller_connection> &caller, read_fault fault)
-{
-    constexpr int badRequest = 400;
-    constexpr int headTooLarge = 431;
-    constexpr int bodyTooLarge = 413;
-    m_log.write(event_number::request_refused, {{"request", "-"}, {"reason", "malformed_request"}});
-    answerWithoutBody(*caller, fault == read_fault::head_too_large ? headTooLarge : fault == read_fault::body_too_large ? bodyTooLarge : badRequest);
-}
-
 void gateway::onDeclarations(const keyed_record &record)
 {
     if (record.key != m_options.decoders.declarationsKey || !record.value) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,6 +2,7 @@
 /// endpoint processes, is daemon/entry_daemon.h. Owns its listeners, sessions and the followers of the platform's log.
 #pragma once
 
+#include "gateway/caller_limit.h"
 #include "gateway/duty_runner.h"
 #include "gateway/endpoint_history.h"
 #include "gateway/gateway_context.h"
@@ -40,9 +41,6 @@
     std::function<gateway_settings()> reloadSettings;
 };
 
-/// Size of the kernel's receive buffers of callers.
-inline constexpr int callerReceiveBufferBytes = 16 * 1024;
-
 /// An entry, which runs on the thread that calls run().
 class gateway
 {
@@ -68,11 +66,9 @@
     void onTick();
     void onReadinessCaller(int descriptor);
     [[nodiscard]] caller_options callerOptions();
+    void onClosedForLimit(std::string_view closed);
     /// Closes connections that are idle, and refuses requests that do not get on, for longer than permitted.
     void closeStaleCallers(const caller_set &callers, duration headTimeout, duration idleTimeout);
-    /// Closes a connection if their number has reached its limit. Returns false if all are being answered.
-    [[nodiscard]] bool makeRoom(caller_set &callers, std::size_t most);
-    void refuseConnection(int descriptor);
     void beginLeaving();
     void continueLeaving();
     [[nodiscard]] bool isReady() const;
@@ -125,6 +121,8 @@
     std::unique_ptr<endpoint_history> m_endpointHistory;
     std::unique_ptr<peer_exchange> m_peers;
     std::unique_ptr<peer_records> m_peerRecords;
+    caller_limit m_callerLimit;
+    caller_limit m_readinessLimit;
     std::shared_ptr<linger_limit> m_lingers;
     std::shared_ptr<const caller_hooks> m_callerHooks;
     std::shared_ptr<const caller_hooks> m_readinessHooks;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -32,12 +32,6 @@
 /// when no attempts, retries or time are left, and when the request can no longer wait behind queued ones.
 inline constexpr std::chrono::milliseconds defaultRetryAfter{300};
 
-/// Length from which on the body of a message is not copied, and a request needs room for long ones.
-inline constexpr std::size_t longBodyBytes = 64 * 1024;
-
-/// Share of the memory of messages that is kept for answers and connections, and by which small answers may exceed it.
-inline constexpr std::size_t reserveDivisor = 8;
-
 /// Logs a change of the limit that an endpoint declares, with what it was learnt from.
 inline void logRateLimitChange(event_log &log, const rate_limit_change &change, const log_field &source)
 {
@@ -107,18 +101,10 @@
     /// True from SIGTERM on.
     bool isLeaving = false;
 
-    /// Whether there is no memory to run a request of so many bytes. Small ones may use more, but for what answers and connections need.
-    [[nodiscard]] bool refusesForMemory(std::size_t requestBytes) const
-    {
-        const auto limit = requestBytes < longBodyBytes ? buffers->limitBytes() - buffers->limitBytes() / reserveDivisor : running->limitBytes();
-        return limit != 0 && running->bytes() + requestBytes > limit;
-    }
-
-    /// Whether an answer of so many bytes that is collected must be given up for memory. A small one only if what exceeds the limit is much.
-    [[nodiscard]] bool dropsAnswerForMemory(std::size_t answerBytes) const
+    /// What messages take, for the decisions of dispatch/memory_guard.h.
+    [[nodiscard]] memory_use memoryUse() const
     {
-        const auto excess = answerBytes < longBodyBytes ? buffers->limitBytes() / reserveDivisor : 0;
-        return buffers->isOver() && buffers->bytes() > buffers->limitBytes() + excess;
+        return {.taken = buffers->bytes(), .limit = buffers->limitBytes(), .running = running->bytes(), .runningLimit = running->limitBytes()};
     }
 
     /// Called when an endpoint may have free capacity. Tries the queued requests once at the end of this iteration of the loop.
--- a/src/gateway/peer_records.cpp
+++ b/src/gateway/peer_records.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <tuple>
-#include <unistd.h>
 
 namespace wisteriashunt
 {
@@ -124,16 +123,11 @@
                                                                 .onDisconnected = [](caller_connection &) {},
                                                                 .onClosed = [this](caller_connection &caller) { m_callers.release(m_loop, caller); },
                                                                 .onFault = [](const auto &caller, read_fault) { caller->abort(); }}))
+    , m_callerLimit(maxPeerCallers, [](std::string_view) {})
     , m_listener(std::make_unique<channel_listener>(loop, options.self, [this](int descriptor) {
-        if (m_callers.all().size() >= maxPeerCallers) {
-            const auto chosen = m_callers.nextToClose();
-            if (chosen == nullptr) {
-                ::close(descriptor);
-                return;
-            }
-            chosen->closeNow();
+        if (m_callerLimit.admit(m_callers, descriptor)) {
+            m_callers.add(caller_connection::adopt(m_loop, descriptor, {.bounds = peerRequestBounds}, m_callerHooks));
         }
-        m_callers.add(caller_connection::adopt(m_loop, descriptor, {.bounds = peerRequestBounds}, m_callerHooks));
     }))
 {
 }
--- a/src/gateway/peer_records.h
+++ b/src/gateway/peer_records.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "dispatch/stream_versions.h"
+#include "gateway/caller_limit.h"
 #include "gateway/event_log.h"
 #include "gateway/log_follower.h"
 #include "gateway/peer_exchange.h"
@@ -128,6 +129,7 @@
     std::map<std::string, fresh_state> m_fresh;
     std::shared_ptr<const caller_hooks> m_callerHooks;
     caller_set m_callers;
+    caller_limit m_callerLimit;
     std::unique_ptr<channel_listener> m_listener;
     std::size_t m_nextPeer = 0;
 };
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -131,7 +131,7 @@
         if (!freeMemory(run)) {
             return;
         }
-        if (run.body.size() > m_context.maxAnswerBytes || m_context.dropsAnswerForMemory(run.body.size())) {
+        if (run.body.size() > m_context.maxAnswerBytes || !hasRoomForAnswer(m_context.memoryUse(), run.body.size())) {
             run.exchange->close();
             onBroken(run, "answer_too_large", toString(run.head.framing));
         }
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -38,7 +38,7 @@
     , m_run(std::make_shared<upstream_attempt>(context.running))
 {
     ++m_context.openSessions;
-    m_isRefusedForMemory = m_context.refusesForMemory(m_body->size());
+    m_isRefusedForMemory = !hasRoomForRequest(m_context.memoryUse(), m_body->size());
     m_charge.set(heldBytes());
 }
 
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -1,7 +1,6 @@
 #include "http/caller_connection.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace wisteriashunt
 {
@@ -419,42 +418,4 @@
     return m_connections;
 }
 
-std::shared_ptr<caller_connection> caller_set::nextToClose()
-{
-    for (int choices = 0; choices < 2; ++choices) {
-        while (!m_candidates.empty()) {
-            const auto [weak, lastActivity] = m_candidates.back();
-            m_candidates.pop_back();
-            const auto caller = weak.lock();
-            if (caller != nullptr && caller->lastActivity() == lastActivity && (caller->isIdle() || caller->hasPartialRequest())
-                && m_connections.count(caller.get()) > 0) {
-                return caller;
-            }
-        }
-        chooseCandidates();
-    }
-    return nullptr;
-}
-
-void caller_set::chooseCandidates()
-{
-    constexpr std::size_t shareDivisor = 32;
-    std::vector<caller_connection *> all;
-    for (const auto &[address, caller] : m_connections) {
-        if (caller->isIdle() || caller->hasPartialRequest()) {
-            all.push_back(address);
-        }
-    }
-    const auto keyOf = [](const caller_connection *caller) {
-        const int order = !caller->isIdle() ? 1 : caller->pendingBytes() > 0 ? 2 : 0;
-        return std::pair(order, caller->lastActivity());
-    };
-    const auto goesBefore = [&](const caller_connection *left, const caller_connection *right) { return keyOf(left) < keyOf(right); };
-    const auto count = std::min(all.size(), m_connections.size() / shareDivisor + 1);
-    std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(count), all.end(), goesBefore);
-    for (auto position = count; position > 0; --position) {
-        m_candidates.push_back({.caller = all[position - 1]->weak_from_this(), .lastActivity = all[position - 1]->lastActivity()});
-    }
-}
-
 } // namespace wisteriashunt
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -9,7 +9,6 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
-#include <vector>
 
 namespace wisteriashunt
 {
@@ -176,23 +175,8 @@
 
     [[nodiscard]] const connections &all() const;
 
-    /// Returns the connection to close for a new one: the one that has been idle longest or, if none is idle, the one whose request has stood
-    /// still longest before it was whole, and at last one whose last answer is not sent yet. nullptr if all are being answered.
-    [[nodiscard]] std::shared_ptr<caller_connection> nextToClose();
-
 private:
-    /// A connection that was chosen, and its last activity by then.
-    struct candidate
-    {
-        std::weak_ptr<caller_connection> caller;
-        time_point lastActivity;
-    };
-
-    void chooseCandidates();
-
     connections m_connections;
-    /// The next to close, the last one first. Chosen in advance, as each choice looks at all connections.
-    std::vector<candidate> m_candidates;
 };
 
 } // namespace wisteriashunt
--- a/test/caller_set_test.cpp
+++ b/test/caller_limit_test.cpp
@@ -1,5 +1,5 @@
 // Tests which connection of a caller gives way to a new one.
-#include "http/caller_connection.h"
+#include "gateway/caller_limit.h"
 
 #include <gtest/gtest.h>
 
@@ -12,10 +12,10 @@
 namespace
 {
 
-class caller_set_test : public ::testing::Test
+class caller_limit_test : public ::testing::Test
 {
 protected:
-    ~caller_set_test() override
+    ~caller_limit_test() override
     {
         for (const int descriptor : m_peers) {
             ::close(descriptor);
@@ -36,34 +36,44 @@
         return caller;
     }
 
+    /// Has a limit of as many connections as there are make room for one more.
+    void admitAnother()
+    {
+        caller_limit limit(m_callers.all().size(), [](std::string_view) {});
+        EXPECT_TRUE(limit.admit(m_callers, -1));
+    }
+
     static constexpr std::size_t answerBytes = 4'000'000;
 
     boot_clock m_clock;
     event_loop m_loop{m_clock};
     std::vector<int> m_peers;
     caller_set m_callers;
+    const caller_connection *m_closed = nullptr;
     std::shared_ptr<const caller_hooks> m_hooks = std::make_shared<caller_hooks>(caller_hooks{
         .onRequest = [](const auto &caller,
                         received_request &&request) { caller->answer("HTTP/1.1 200 OK\r\n", std::string(request.target == "/long" ? answerBytes : 2, 'x')); },
         .onDisconnected = [](caller_connection &) {},
-        .onClosed = [](caller_connection &) {},
+        .onClosed = [this](caller_connection &caller) { m_closed = &caller; },
         .onFault = [](const auto &caller, read_fault) { caller->abort(); }});
 };
 
-TEST_F(caller_set_test, TheIdleGiveWayBeforeThoseWhoseRequestIsNotWhole)
+TEST_F(caller_limit_test, TheIdleGiveWayBeforeThoseWhoseRequestIsNotWhole)
 {
-    const auto incoming = connect("GET / HTTP/1.1\r\nHost: ");
+    const auto partial = connect("GET / HTTP/1.1\r\nHost: ");
     const auto idle = connect("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
-    EXPECT_EQ(m_callers.nextToClose(), idle);
+    admitAnother();
+    EXPECT_EQ(m_closed, idle.get());
 }
 
 // A connection counts as idle once its answer is written. Closed then, its caller got a part of the answer of a request that had run.
-TEST_F(caller_set_test, AConnectionWhoseAnswerIsNotSentYetGivesWayLast)
+TEST_F(caller_limit_test, AConnectionWhoseAnswerIsNotSentYetGivesWayLast)
 {
     const auto unread = connect("GET /long HTTP/1.1\r\nHost: x\r\n\r\n");
-    const auto incoming = connect("GET / HTTP/1.1\r\nHost: ");
+    const auto partial = connect("GET / HTTP/1.1\r\nHost: ");
     ASSERT_GT(unread->pendingBytes(), 0U);
-    EXPECT_EQ(m_callers.nextToClose(), incoming);
+    admitAnother();
+    EXPECT_EQ(m_closed, partial.get());
 }
 
 } // namespace
--- a/test/memory_guard_test.cpp
+++ b/test/memory_guard_test.cpp
@@ -20,7 +20,7 @@
     EXPECT_EQ(answerBacklog(options, 1, true), options.minBacklogBytes);
 }
 
-TEST(memory_guard_test, RefusesNewRequestsBeforeItBreaksOffAnswers)
+TEST(memory_guard_test, IsShortBeforeItBreaksOffAnswers)
 {
     const auto decision = decideOnMemory(options, 20 * megabyte, {10 * megabyte, 10 * megabyte});
     EXPECT_TRUE(decision.isShort);
@@ -39,6 +39,25 @@
     EXPECT_EQ(decideOnMemory(options, 50 * megabyte, {0, kilobyte, 0}).dropped, (std::vector<std::size_t>{1}));
 }
 
+TEST(memory_guard_test, AShortRequestHasRoomWhereALongOneHasNone)
+{
+    const memory_use use{.taken = 38 * megabyte, .limit = 40 * megabyte, .running = 30 * megabyte, .runningLimit = 30 * megabyte};
+    EXPECT_FALSE(hasRoomForRequest(use, longBodyBytes));
+    EXPECT_TRUE(hasRoomForRequest(use, longBodyBytes - 1));
+    EXPECT_FALSE(hasRoomForRequest({.taken = 38 * megabyte, .limit = 40 * megabyte, .running = 35 * megabyte, .runningLimit = 30 * megabyte}, 1))
+        << "an eighth is kept for answers";
+    EXPECT_TRUE(hasRoomForRequest({.taken = 1000 * megabyte, .running = 1000 * megabyte}, megabyte)) << "no limit";
+}
+
+TEST(memory_guard_test, AShortAnswerOfARequestThatHasRunMayExceedTheLimit)
+{
+    const memory_use use{.taken = 44 * megabyte, .limit = 40 * megabyte};
+    EXPECT_TRUE(hasRoomForAnswer(use, kilobyte));
+    EXPECT_FALSE(hasRoomForAnswer(use, megabyte));
+    EXPECT_FALSE(hasRoomForAnswer({.taken = 46 * megabyte, .limit = 40 * megabyte}, kilobyte));
+    EXPECT_TRUE(hasRoomForAnswer({.taken = 1000 * megabyte}, megabyte)) << "no limit";
+}
+
 TEST(memory_guard_test, HasNoLimitWithoutABudget)
 {
     EXPECT_EQ(decideOnMemory({}, 1000 * megabyte, {megabyte}), memory_decision{});
