One name each for partial and pipelined requests

Cause: a request that is not whole was partial, incoming or coming in, and pipelined requests were sent ahead; what a connection holds had two structs with the same members, and the reader had discard() beside reset(). Comments and pages used figures of speech for progress and for what is closed.

Change: partial, pipelined and stalled everywhere, in labels of metrics and fields of event 608 too; caller_holdings is the only struct; reset() is public.

--- a/src/dispatch/memory_relief.cpp
+++ b/src/dispatch/memory_relief.cpp
@@ -9,14 +9,14 @@
 namespace
 {
 
-/// A request that has sent this little is no relief.
+/// Requests that hold less are not given up, as that would free next to nothing.
 constexpr std::size_t leastBytes = 256;
 
-/// Share of the limit that is freed beyond it.
+/// Share of the limit that is freed beyond what exceeds it.
 constexpr std::size_t marginDivisor = 8;
 
-/// A request that is coming in, ordered by what to give up first.
-struct incoming_request
+/// A partial request, ordered by what to give up first.
+struct partial_request
 {
     std::size_t holder = 0;
     bool isStalled = false;
@@ -24,7 +24,7 @@
     /// Bytes times the seconds for which they are expected to be held.
     double occupancy = 0;
 
-    [[nodiscard]] bool goesBefore(const incoming_request &other) const
+    [[nodiscard]] bool goesBefore(const partial_request &other) const
     {
         return std::tuple(isStalled, rank, occupancy) > std::tuple(other.isStalled, other.rank, other.occupancy);
     }
@@ -32,7 +32,7 @@
 
 } // namespace
 
-duration expectedArrival(const message_holder &holder)
+duration expectedArrival(const caller_holdings &holder)
 {
     constexpr double leastPace = 1;
     constexpr double longest = 3600;
@@ -42,7 +42,7 @@
 }
 
 std::vector<relief_step>
-decideOnRelief(const relief_options &options, std::size_t takenBytes, const std::vector<message_holder> &holders, const rank_lookup &rankOf)
+decideOnRelief(const relief_options &options, std::size_t takenBytes, const std::vector<caller_holdings> &holders, const rank_lookup &rankOf)
 {
     if (options.limitBytes == 0 || takenBytes <= options.limitBytes) {
         return {};
@@ -54,41 +54,42 @@
         takenBytes -= std::min(takenBytes, bytes);
     };
 
-    std::vector<std::size_t> ahead;
-    std::vector<incoming_request> incoming;
+    std::vector<std::size_t> pipelined;
+    std::vector<partial_request> partial;
     bool hasStalled = false;
     for (std::size_t i = 0; i < holders.size(); ++i) {
-        if (holders[i].aheadBytes >= leastBytes) {
-            ahead.push_back(i);
+        if (holders[i].pipelinedBytes >= leastBytes) {
+            pipelined.push_back(i);
         }
-        if (holders[i].incomingBytes >= leastBytes) {
+        if (holders[i].partialBytes >= leastBytes) {
             const auto arrival = expectedArrival(holders[i]);
-            incoming.push_back(
-                {.holder = i, .isStalled = arrival > options.longestArrival, .occupancy = static_cast<double>(holders[i].incomingBytes) * toSeconds(arrival)});
-            hasStalled = hasStalled || incoming.back().isStalled;
+            partial.push_back(
+                {.holder = i, .isStalled = arrival > options.longestArrival, .occupancy = static_cast<double>(holders[i].partialBytes) * toSeconds(arrival)});
+            hasStalled = hasStalled || partial.back().isStalled;
         }
     }
-    std::stable_sort(ahead.begin(), ahead.end(), [&](std::size_t left, std::size_t right) { return holders[left].aheadBytes > holders[right].aheadBytes; });
-    for (auto holder = ahead.begin(); holder != ahead.end() && takenBytes > target; ++holder) {
-        give(*holder, relief_kind::drop_requests_ahead, holders[*holder].aheadBytes);
+    std::stable_sort(
+        pipelined.begin(), pipelined.end(), [&](std::size_t left, std::size_t right) { return holders[left].pipelinedBytes > holders[right].pipelinedBytes; });
+    for (auto holder = pipelined.begin(); holder != pipelined.end() && takenBytes > target; ++holder) {
+        give(*holder, relief_kind::drop_pipelined_requests, holders[*holder].pipelinedBytes);
     }
 
-    const auto giveIncoming = [&](bool isStalled) {
-        std::stable_sort(incoming.begin(), incoming.end(), [](const auto &left, const auto &right) { return left.goesBefore(right); });
-        for (auto request = incoming.begin(); request != incoming.end() && takenBytes > target; ++request) {
+    const auto givePartial = [&](bool isStalled) {
+        std::stable_sort(partial.begin(), partial.end(), [](const auto &left, const auto &right) { return left.goesBefore(right); });
+        for (auto request = partial.begin(); request != partial.end() && takenBytes > target; ++request) {
             if (request->isStalled == isStalled) {
-                give(request->holder, relief_kind::refuse_incoming, holders[request->holder].incomingBytes);
+                give(request->holder, relief_kind::refuse_partial_request, holders[request->holder].partialBytes);
             }
         }
     };
     if (hasStalled) {
-        giveIncoming(true);
+        givePartial(true);
     }
     if (takenBytes > target) {
-        for (auto &request : incoming) {
+        for (auto &request : partial) {
             request.rank = request.isStalled ? 0 : rankOf(request.holder);
         }
-        giveIncoming(false);
+        givePartial(false);
     }
     return steps;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -67,7 +67,7 @@
     void onReadinessCaller(int descriptor);
     [[nodiscard]] caller_options callerOptions();
     void onClosedForLimit(std::string_view closed);
-    /// Closes connections that are idle, and refuses requests that do not get on, for longer than permitted.
+    /// Closes connections that are idle, and refuses partial requests, that make no progress for longer than permitted.
     void closeStaleCallers(const caller_set &callers, duration headTimeout, duration idleTimeout);
     void beginLeaving();
     void continueLeaving();
--- a/src/gateway/gateway_callers.cpp
+++ b/src/gateway/gateway_callers.cpp
@@ -176,7 +176,7 @@
         constexpr int requestTimeout = 408;
         std::string head;
         appendResponseHead(head, requestTimeout, reasonPhrase(requestTimeout), {});
-        m_counters.countLabelled("requests_total", "class", "-", "incoming_timed_out");
+        m_counters.countLabelled("requests_total", "class", "-", "partial_timed_out");
         caller->refusePartialRequest(std::move(head), {});
     }
 }
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -87,8 +87,8 @@
     std::size_t unreadBytes = 0;
     /// Most bytes of buffers since pages were last given back.
     std::size_t mostBufferBytes = 0;
-    /// When there was last nothing to give up although buffers were over their limit.
-    std::optional<time_point> nothingToRelieveAt;
+    /// When buffers were last over their limit and nothing could be given up.
+    std::optional<time_point> nothingToFreeAt;
     bool isMemoryShort = false;
     /// Most bytes of one answer that is no stream, and of one event.
     std::size_t maxAnswerBytes = 16 * 1024 * 1024;
--- a/src/gateway/memory_watch.cpp
+++ b/src/gateway/memory_watch.cpp
@@ -15,8 +15,8 @@
 namespace
 {
 
-/// Returns the rank of a request that is coming in. One without a route or a known API key is the least urgent.
-int rankOfIncoming(const gateway_context &context, const caller_connection &caller)
+/// Returns the rank of a partial request. One without a route or a known API key is the least urgent.
+int rankOfPartialRequest(const gateway_context &context, const caller_connection &caller)
 {
     constexpr int leastUrgent = std::numeric_limits<int>::max();
     const auto *request = caller.partialRequest();
@@ -58,37 +58,32 @@
 
 void relieveMemory(gateway_context &context, const caller_set &callers)
 {
-    // What is over the limit then is requests that run, and each look goes through all connections.
+    // Each look goes through all connections. If there was nothing to give up, requests that run take the memory, and will for a while.
     constexpr std::chrono::milliseconds pause{20};
-    const bool hadNothing = context.nothingToRelieveAt && context.loop.now() - *context.nothingToRelieveAt < pause;
+    const bool hadNothing = context.nothingToFreeAt && context.loop.now() - *context.nothingToFreeAt < pause;
     if (!context.buffers->isOver() || hadNothing) {
         return;
     }
     std::vector<std::shared_ptr<caller_connection>> connections;
-    std::vector<message_holder> holders;
+    std::vector<caller_holdings> holders;
     for (const auto &[address, caller] : callers.all()) {
-        const auto held = caller->holdings();
         connections.push_back(caller);
-        holders.push_back({.incomingBytes = held.incomingBytes,
-                           .missingBytes = held.missingBytes,
-                           .bytesPerSecond = held.bytesPerSecond,
-                           .quiet = held.quiet,
-                           .aheadBytes = held.aheadBytes});
+        holders.push_back(caller->holdings());
     }
     const auto taken = context.buffers->bytes();
     const auto steps = decideOnRelief(
-        {.limitBytes = context.buffers->limitBytes()}, taken, holders, [&](std::size_t holder) { return rankOfIncoming(context, *connections[holder]); });
-    context.nothingToRelieveAt = steps.empty() ? std::optional(context.loop.now()) : std::nullopt;
+        {.limitBytes = context.buffers->limitBytes()}, taken, holders, [&](std::size_t holder) { return rankOfPartialRequest(context, *connections[holder]); });
+    context.nothingToFreeAt = steps.empty() ? std::optional(context.loop.now()) : std::nullopt;
     std::size_t refused = 0;
     for (const auto &step : steps) {
         auto &caller = *connections[step.holder];
-        if (step.kind == relief_kind::drop_requests_ahead) {
-            context.counters.countLabelled("requests_total", "class", "-", "sent_ahead_dropped");
-            caller.dropRequestsAhead();
+        if (step.kind == relief_kind::drop_pipelined_requests) {
+            context.counters.countLabelled("requests_total", "class", "-", "pipelined_dropped");
+            caller.dropPipelinedRequests();
             continue;
         }
         ++refused;
-        context.counters.countLabelled("requests_total", "class", "-", "incoming_refused");
+        context.counters.countLabelled("requests_total", "class", "-", "partial_refused");
         const auto refusal = makeRefusal(context.dialect, error_kind::overloaded, memoryRetryAfter);
         caller.refusePartialRequest(refusal.head, refusal.body);
     }
@@ -97,7 +92,7 @@
                        {"limit", std::to_string(context.buffers->limitBytes())},
                        {"left", std::to_string(context.buffers->bytes())},
                        {"refused", std::to_string(refused)},
-                       {"sent_ahead", std::to_string(steps.size() - refused)},
+                       {"pipelined", std::to_string(steps.size() - refused)},
                        {"callers", std::to_string(connections.size())}});
     if (context.buffers->isOver()) {
         watchMemory(context, callers);
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -8,16 +8,16 @@
 namespace
 {
 
-/// Bytes of further requests that are buffered while a request is being answered. Reading pauses above this limit.
-constexpr std::size_t maxAheadBytes = 16 * 1024;
+/// Bytes of pipelined requests that are buffered while a request is being answered. Reading pauses above this limit.
+constexpr std::size_t maxPipelinedBytes = 16 * 1024;
 
 /// Bytes of answers that are not sent above which the caller's next request waits.
 constexpr std::size_t maxUnreadBytes = 16 * 1024;
 
-/// Requests of one connection in a wake-up.
+/// Requests of one connection that are begun in a wake-up.
 constexpr int maxRequestsPerWakeUp = 16;
 
-/// Time until a connection with further requests is looked at again.
+/// Time until further pipelined requests of the connection are begun.
 constexpr std::chrono::milliseconds shortestPause{1};
 
 /// What a connection takes beside its messages.
@@ -34,7 +34,7 @@
 caller_connection::caller_connection(event_loop &loop, const caller_options &options, std::shared_ptr<const caller_hooks> hooks)
     : m_loop(loop)
     , m_hooks(std::move(hooks))
-    , m_options(options)
+    , m_ledger(options.ledger)
     , m_charge(options.ledger)
     , m_reader(options.bounds)
     , m_lastActivity(loop.now())
@@ -91,19 +91,19 @@
         return;
     }
     const auto self = shared_from_this();
-    if (m_isAnswering || !m_ahead.empty()) {
-        m_ahead.append(bytes);
+    if (m_isAnswering || !m_pipelined.empty()) {
+        m_pipelined.append(bytes);
     } else {
         const std::size_t consumed = feed(bytes);
-        m_ahead.assign(bytes.substr(consumed));
+        m_pipelined.assign(bytes.substr(consumed));
     }
     notePace();
     readRequests();
-    if (m_channel->isOpen() && m_ahead.size() - m_aheadBegin > maxAheadBytes) {
+    if (m_channel->isOpen() && m_pipelined.size() - m_pipelinedBegin > maxPipelinedBytes) {
         m_channel->setReading(false);
     }
     updateCharge();
-    if (m_options.ledger->isOver()) {
+    if (m_ledger->isOver()) {
         m_hooks->onMemoryOver();
     }
 }
@@ -117,8 +117,8 @@
     m_isReadingRequests = true;
     const auto self = shared_from_this();
     for (int requests = 0; !m_isAnswering && !m_closesAfterAnswer && m_channel->isOpen() && !hasUnreadAnswers() && m_readLater == 0;) {
-        if (!m_reader.isComplete() && m_reader.fault() == read_fault::none && m_aheadBegin < m_ahead.size()) {
-            m_aheadBegin += feed(std::string_view(m_ahead).substr(m_aheadBegin));
+        if (!m_reader.isComplete() && m_reader.fault() == read_fault::none && m_pipelinedBegin < m_pipelined.size()) {
+            m_pipelinedBegin += feed(std::string_view(m_pipelined).substr(m_pipelinedBegin));
         }
         if (m_reader.fault() != read_fault::none) {
             m_isAnswering = true;
@@ -144,12 +144,12 @@
         m_hooks->onRequest(self, std::move(request));
     }
     m_isReadingRequests = false;
-    if (m_closesAfterAnswer || m_aheadBegin == m_ahead.size()) {
-        m_ahead = std::string();
-        m_aheadBegin = 0;
-    } else if (m_aheadBegin >= m_ahead.size() - m_aheadBegin) {
-        m_ahead.erase(0, m_aheadBegin);
-        m_aheadBegin = 0;
+    if (m_closesAfterAnswer || m_pipelinedBegin == m_pipelined.size()) {
+        m_pipelined = std::string();
+        m_pipelinedBegin = 0;
+    } else if (m_pipelinedBegin >= m_pipelined.size() - m_pipelinedBegin) {
+        m_pipelined.erase(0, m_pipelinedBegin);
+        m_pipelinedBegin = 0;
     }
 }
 
@@ -177,7 +177,7 @@
         return;
     }
     readRequests();
-    if (m_channel->isOpen() && m_ahead.size() - m_aheadBegin <= maxAheadBytes && !hasUnreadAnswers()) {
+    if (m_channel->isOpen() && m_pipelined.size() - m_pipelinedBegin <= maxPipelinedBytes && !hasUnreadAnswers()) {
         m_channel->setReading(true);
     }
     updateCharge();
@@ -214,14 +214,14 @@
 
 caller_holdings caller_connection::holdings() const
 {
-    caller_holdings held{.aheadBytes = m_ahead.size() - m_aheadBegin, .unreadBytes = m_channel->pendingBytes()};
+    caller_holdings held{.pipelinedBytes = m_pipelined.size() - m_pipelinedBegin};
     if (hasPartialRequest()) {
         constexpr std::chrono::milliseconds shortest{50};
-        held.incomingBytes = m_reader.partial().heldBytes();
+        held.partialBytes = m_reader.partial().heldBytes();
         held.missingBytes = m_reader.missingBytes();
         held.quiet = m_loop.now() - m_lastActivity;
         const auto elapsed = std::max<duration>(m_loop.now() - m_paceSince, shortest);
-        const auto recent = held.incomingBytes > m_bytesBefore ? static_cast<double>(held.incomingBytes - m_bytesBefore) / toSeconds(elapsed) : 0;
+        const auto recent = held.partialBytes > m_bytesBefore ? static_cast<double>(held.partialBytes - m_bytesBefore) / toSeconds(elapsed) : 0;
         held.bytesPerSecond = std::max(m_pace, recent);
     }
     return held;
@@ -229,7 +229,7 @@
 
 void caller_connection::updateCharge()
 {
-    m_charge.set(connectionBytes + m_reader.partial().heldBytes() + m_ahead.capacity() + m_channel->pendingBytes());
+    m_charge.set(connectionBytes + m_reader.partial().heldBytes() + m_pipelined.capacity() + m_channel->pendingBytes());
 }
 
 void caller_connection::appendConnectionHeader(std::string &head) const
@@ -309,18 +309,18 @@
 
 void caller_connection::refusePartialRequest(std::string head, std::string_view body)
 {
-    m_reader.discard();
-    m_ahead = std::string();
-    m_aheadBegin = 0;
+    m_reader.reset();
+    m_pipelined = std::string();
+    m_pipelinedBegin = 0;
     m_isAnswering = true;
     m_closesAfterAnswer = true;
     answer(std::move(head), body);
 }
 
-void caller_connection::dropRequestsAhead()
+void caller_connection::dropPipelinedRequests()
 {
-    m_ahead = std::string();
-    m_aheadBegin = 0;
+    m_pipelined = std::string();
+    m_pipelinedBegin = 0;
     closeWhenIdle();
     updateCharge();
 }
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -2,6 +2,7 @@
 /// readiness probe, a reader of the metrics or another entry.
 #pragma once
 
+#include "http/caller_holdings.h"
 #include "http/message_reader.h"
 #include "net/byte_channel.h"
 #include "net/memory_ledger.h"
@@ -43,21 +44,6 @@
     int receiveBufferBytes = 0;
 };
 
-/// What a connection holds, and how a request that is coming in gets on.
-struct caller_holdings
-{
-    /// Of a request that is not whole.
-    std::size_t incomingBytes = 0;
-    std::size_t missingBytes = 0;
-    /// Bytes of that request per second of late, and the time since the last ones.
-    double bytesPerSecond = 0;
-    duration quiet{};
-    /// Of requests that wait for the answer to the one before.
-    std::size_t aheadBytes = 0;
-    /// Of answers that are not sent.
-    std::size_t unreadBytes = 0;
-};
-
 /// One accepted connection.
 class caller_connection : public std::enable_shared_from_this<caller_connection>
 {
@@ -88,11 +74,11 @@
     /// Closes the connection by a reset and discards what it has not sent. Its hooks are called as if the caller had disconnected.
     void discard();
 
-    /// Refuses the request that is coming in: drops what has arrived of it, answers, and closes the connection. Requires hasPartialRequest().
+    /// Refuses the partial request: drops what has arrived of it, answers, and closes the connection. Requires hasPartialRequest().
     void refusePartialRequest(std::string head, std::string_view body);
 
-    /// Drops the requests that wait for their turn and closes the connection after the current answer.
-    void dropRequestsAhead();
+    /// Drops the pipelined requests that are not answered yet and closes the connection after the current answer.
+    void dropPipelinedRequests();
 
     /// Closes the connection at once. Its hooks are called as if the caller had disconnected.
     void closeNow();
@@ -104,11 +90,11 @@
     [[nodiscard]] bool isIdle() const;
     /// True if the start of a request has arrived but not all of it.
     [[nodiscard]] bool hasPartialRequest() const;
-    /// When the first bytes of the request that is coming in arrived.
+    /// When the first bytes of the partial request arrived.
     [[nodiscard]] time_point requestSince() const;
     /// When bytes last arrived or a response was last completed.
     [[nodiscard]] time_point lastActivity() const;
-    /// The request that is coming in if its head is whole, otherwise nullptr.
+    /// The partial request if its head is whole, otherwise nullptr.
     [[nodiscard]] const received_request *partialRequest() const;
     [[nodiscard]] caller_holdings holdings() const;
     /// Counts anew what the connection holds.
@@ -140,13 +126,13 @@
 
     event_loop &m_loop;
     std::shared_ptr<const caller_hooks> m_hooks;
-    caller_options m_options;
+    std::shared_ptr<memory_ledger> m_ledger;
     memory_charge m_charge;
     std::shared_ptr<byte_channel> m_channel;
     request_reader m_reader;
-    /// Bytes after the request that is being read or answered, from m_aheadBegin on.
-    std::string m_ahead;
-    std::size_t m_aheadBegin = 0;
+    /// Bytes after the request that is being read or answered, from m_pipelinedBegin on.
+    std::string m_pipelined;
+    std::size_t m_pipelinedBegin = 0;
     timer_id m_readLater = 0;
     time_point m_requestSince;
     time_point m_lastActivity;
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -272,11 +272,6 @@
     return std::max(m_request.heldBytes(), leastEstimate);
 }
 
-void request_reader::discard()
-{
-    reset();
-}
-
 bool request_reader::wantsContinue() const
 {
     return m_wantsContinue && !m_isComplete;
--- a/src/http/message_reader.h
+++ b/src/http/message_reader.h
@@ -46,8 +46,8 @@
     [[nodiscard]] const received_request &partial() const;
     /// Bytes of the body that are still to come; of a chunked one, an estimate.
     [[nodiscard]] std::size_t missingBytes() const;
-    /// Forgets the request as far as it has arrived.
-    void discard();
+    /// Forgets the request as far as it has arrived, and prepares for the next one.
+    void reset();
     /// True if the head is complete and the caller waits for "100 Continue" before it sends the body.
     [[nodiscard]] bool wantsContinue() const;
     void setContinueSent();
@@ -67,7 +67,6 @@
     static int onMessageComplete(http_parser *parser);
     static const http_parser_settings &callbacks();
 
-    void reset();
     bool countHead(std::size_t length);
 
     http_parser m_parser{};
