--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -452,6 +452,8 @@
     std::atomic<double> answerMs{4};
     /// When a call for new records of the engines' entries was last answered.
     std::atomic<double> engineReadAt{-1};
+    /// When a call for a new configuration last arrived.
+    std::atomic<double> configurationCallAt{-1};
 
     /// All connections that are open now go silent for good; new ones work.
     double silenceOpenConnections()
@@ -488,6 +490,9 @@
             generation = m_generation;
         }
         while (auto request = peer.read()) {
+            if (request->target().find("log-read?topic=keyed.op") != std::string::npos) {
+                configurationCallAt = now();
+            }
             const auto answer = answerTo(*request, generation);
             sleepMs(answerMs);
             const bool isSilent = [&] {
