--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -587,7 +587,7 @@
     }
 
     /// What the engine writes to the store of itself.
-    [[nodiscard]] std::string entry(const std::string &state = "ready") const
+    [[nodiscard]] std::string entry(const std::string &state = "ready", int sequence = 1) const
     {
         return json{{"service", m_service},
                     {"address", addressOf(m_server.port())},
@@ -596,7 +596,7 @@
                     {"slots", 6},
                     {"state", state},
                     {"cold_left_ms", 0},
-                    {"sequence", 1},
+                    {"sequence", sequence},
                     {"born", 1765000000000}}
             .dump();
     }
