--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -27,6 +27,7 @@
 #include <sstream>
 #include <string>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -749,6 +750,7 @@
     {
         m_process = fork();
         if (m_process == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int log = open((m_folder + "/log.txt").c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
             dup2(log, STDOUT_FILENO);
             dup2(log, STDERR_FILENO);
