A session holds its route together with the table that owns it

Cause: after the wait the session replaced its table and could return before it replaced its route, which then pointed into the freed table. Change: matched_route holds both and is assigned as one value; whether the entry takes new requests is asked only when a request arrives. Why it works: a route cannot outlive its table any more, on this path or another.

--- a/src/gateway/explain_operation.cpp
+++ b/src/gateway/explain_operation.cpp
@@ -180,7 +180,7 @@
 void describePlacement(json &answer, const explained_request &request, const admitted_request &admitted, gateway_context &context)
 {
     const auto now = context.loop.now();
-    auto placementRequest = placementRequestOf(*context.table, admitted, request.metadata);
+    auto placementRequest = placementRequestOf(admitted, request.metadata);
     auto traits = placementRequest.hasPrompt ? sharedParts(request.metadata.prompt) : trait_set{};
     if (request.fingerprint) {
         traits.insert({trait_kind::whole_request, *request.fingerprint});
@@ -233,8 +233,8 @@
         const auto found = std::find_if(workspaces.begin(), workspaces.end(), [&](const auto &each) { return each.name == request.workspace; });
         return found == workspaces.end() ? nullptr : &*found;
     };
-    const auto admitted = admitRequest(*context.table, context.streams, &request.host, request.path, request.metadata, findWorkspace, context.loop.now());
-    if (admitted.matchedRoute != nullptr) {
+    const auto admitted = admitRequest(context.table, context.streams, &request.host, request.path, request.metadata, findWorkspace, context.loop.now());
+    if (admitted.matchedRoute) {
         answer["class"] = admitted.matchedRoute->name;
         answer["rank"] = admitted.rank;
         answer["service"] = admitted.service;
--- a/src/gateway/request_admission.cpp
+++ b/src/gateway/request_admission.cpp
@@ -46,7 +46,7 @@
     return matchedRoute.kind == repeatability::stream && matchedRoute.isResumable && metadata.lastEvent.has_value();
 }
 
-admitted_request admitRequest(const route_table &table,
+admitted_request admitRequest(const std::shared_ptr<const route_table> &table,
                               stream_versions &streams,
                               const std::string *host,
                               std::string_view target,
@@ -55,28 +55,28 @@
                               time_point now)
 {
     admitted_request admitted;
-    admitted.matchedRoute = host == nullptr ? nullptr : table.find(*host, target);
-    if (admitted.matchedRoute == nullptr) {
+    admitted.matchedRoute = {table, host == nullptr ? nullptr : table->find(*host, target)};
+    if (!admitted.matchedRoute) {
         admitted.error = error_kind::unknown_route;
         return admitted;
     }
-    admitted.rank = table.rankOf(*admitted.matchedRoute, nullptr);
-    if (!admitted.matchedRoute->isPublic && !table.declarations().workspaces.empty()) {
-        const auto *workspace = findWorkspace(table);
+    admitted.rank = table->rankOf(*admitted.matchedRoute, nullptr);
+    if (!admitted.matchedRoute->isPublic && !table->declarations().workspaces.empty()) {
+        const auto *workspace = findWorkspace(*table);
         if (workspace == nullptr) {
             admitted.error = error_kind::unauthenticated;
             return admitted;
         }
         admitted.workspace = workspace->name;
-        admitted.rank = table.rankOf(*admitted.matchedRoute, workspace);
+        admitted.rank = table->rankOf(*admitted.matchedRoute, workspace);
     }
     chooseServiceAndVersion(admitted, streams, metadata, now);
     return admitted;
 }
 
-placement_request placementRequestOf(const route_table &table, const admitted_request &admitted, const request_metadata &metadata)
+placement_request placementRequestOf(const admitted_request &admitted, const request_metadata &metadata)
 {
-    const auto *service = table.findService(admitted.service);
+    const auto *service = admitted.matchedRoute.table()->findService(admitted.service);
     return {.service = admitted.service,
             .prompt = metadata.prompt,
             .promptTokens = metadata.promptTokens,
--- a/src/gateway/request_admission.h
+++ b/src/gateway/request_admission.h
@@ -7,7 +7,7 @@
 #include "dispatch/stream_versions.h"
 #include "dispatch/waiting_line.h"
 #include "gateway/wire_dialect.h"
-#include "routing/route_table.h"
+#include "routing/matched_route.h"
 #include "wisteriashunt/errors.h"
 
 #include <functional>
@@ -22,7 +22,7 @@
 struct admitted_request
 {
     /// Set if a route matches, whatever the error.
-    const route *matchedRoute = nullptr;
+    matched_route matchedRoute;
     std::string workspace;
     /// Priority rank; 0 is the most urgent.
     int rank = 0;
@@ -41,8 +41,8 @@
 /// Whether the caller takes up a stream that has begun before.
 [[nodiscard]] bool isResumption(const route &matchedRoute, const request_metadata &metadata);
 
-/// Routes a request. host: nullptr if the request names none. The table must outlive the result.
-[[nodiscard]] admitted_request admitRequest(const route_table &table,
+/// Routes a request. host: nullptr if the request names none. The result keeps the table alive.
+[[nodiscard]] admitted_request admitRequest(const std::shared_ptr<const route_table> &table,
                                             stream_versions &streams,
                                             const std::string *host,
                                             std::string_view target,
@@ -51,7 +51,7 @@
                                             time_point now);
 
 /// Returns the properties of an admitted request that determine its placement, except those that depend on the time that is left.
-[[nodiscard]] placement_request placementRequestOf(const route_table &table, const admitted_request &admitted, const request_metadata &metadata);
+[[nodiscard]] placement_request placementRequestOf(const admitted_request &admitted, const request_metadata &metadata);
 
 /// Returns the time within which the answer must be complete.
 [[nodiscard]] duration timeLimitOf(const route &matchedRoute, const request_metadata &metadata);
--- a/src/gateway/request_answers.cpp
+++ b/src/gateway/request_answers.cpp
@@ -122,7 +122,7 @@
     m_context.loop.cancel(m_timer);
     m_context.loop.cancel(m_hedgeTimer);
     reportNoHedge();
-    const std::string routeName = m_route == nullptr ? "-" : m_route->name;
+    const std::string routeName = m_route ? m_route->name : "-";
     m_context.counters.count(event, routeName);
     m_context.counters.countLabelled("requests_total", "class", routeName, reason);
     std::string_view late = "-";
@@ -153,7 +153,7 @@
                          {"pause_ms", milliseconds(m_longestPause)},
                          {"late", std::string(late)},
                          {"ms", milliseconds(m_context.loop.now() - m_arrival)},
-                         {"version", m_table == nullptr ? "-" : std::to_string(m_table->version())}});
+                         {"version", m_route.version() ? std::to_string(*m_route.version()) : "-"}});
 }
 
 } // namespace wisteriashunt
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -54,22 +54,23 @@
     return m_request.heldBytes() + copies * m_body->size() + m_metadata.prompt.size() * promptPartBytes;
 }
 
-std::optional<error_kind> request_session::admit()
+std::optional<error_kind> request_session::obstacleToTaking() const
 {
-    m_table = m_context.table;
-    if (m_table == nullptr) {
+    if (m_context.table == nullptr) {
         return error_kind::not_ready;
     }
     if (m_context.refusesNewRequests) {
         return error_kind::shutting_down;
     }
-    if (m_isRefusedForMemory) {
-        return error_kind::overloaded;
-    }
+    return m_isRefusedForMemory ? std::optional(error_kind::overloaded) : std::nullopt;
+}
+
+std::optional<error_kind> request_session::admit()
+{
     m_metadata = m_context.dialect.readRequest(m_request.headers);
     const auto host = findHeader(m_request.headers, "host");
     const auto admitted = admitRequest(
-        *m_table,
+        m_context.table,
         m_context.streams,
         host ? &*host : nullptr,
         m_request.target,
@@ -83,7 +84,7 @@
     m_origin = admitted.origin;
     m_needsListReading = admitted.needsListReading;
     if (!admitted.error) {
-        m_placementRequest = placementRequestOf(*m_table, admitted, m_metadata);
+        m_placementRequest = placementRequestOf(admitted, m_metadata);
     }
     return admitted.error;
 }
@@ -103,7 +104,8 @@
 
 void request_session::start()
 {
-    if (const auto error = admit()) {
+    const auto obstacle = obstacleToTaking();
+    if (const auto error = obstacle ? obstacle : admit()) {
         refuse(*error, m_isRefusedForMemory ? memoryRetryAfter : defaultRetryAfter);
         return;
     }
@@ -131,6 +133,7 @@
         return;
     }
     m_context.loop.cancel(m_timer);
+    // A request that was taken is not refused because the entry has stopped taking requests since.
     const auto error = isRead ? admit() : std::optional(error_kind::stream_origin_unknown);
     m_context.log.write(event_number::list_read_for_stream,
                         {{"request", m_metadata.attemptId},
@@ -427,7 +430,7 @@
 {
     m_caller.reset();
     // A non-stream request that may run at most once is left to complete at the endpoint; its answer is discarded.
-    if (m_route != nullptr && m_route->kind == repeatability::at_most_once && m_run->isRunning()) {
+    if (m_route && m_route->kind == repeatability::at_most_once && m_run->isRunning()) {
         return;
     }
     dropAttempts();
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -7,7 +7,7 @@
 #include "gateway/request_admission.h"
 #include "gateway/upstream_attempt.h"
 #include "http/caller_connection.h"
-#include "routing/route_table.h"
+#include "routing/matched_route.h"
 #include "wisteriashunt/errors.h"
 
 #include <memory>
@@ -34,7 +34,9 @@
 private:
     /// Memory that the request takes.
     [[nodiscard]] std::size_t heldBytes() const;
-    /// Routes and authenticates the request. Returns the error to refuse it with, if any.
+    /// Returns why the entry takes no new request now, if so.
+    [[nodiscard]] std::optional<error_kind> obstacleToTaking() const;
+    /// Routes and authenticates the request by the declarations in force. Returns the error to refuse it with, if any.
     [[nodiscard]] std::optional<error_kind> admit();
     /// Has the list of endpoints read before a stream is taken up whose origin follows from the list alone.
     void readListFirst();
@@ -135,8 +137,7 @@
     /// Whether there was no memory for the request when it had arrived.
     bool m_isRefusedForMemory = false;
     request_metadata m_metadata;
-    std::shared_ptr<const route_table> m_table;
-    const route *m_route = nullptr;
+    matched_route m_route;
     std::string m_service;
     /// See waitingLineOf().
     std::string m_line;
--- a/test/entry_standins.cpp
+++ b/test/entry_standins.cpp
@@ -142,6 +142,9 @@
 {
     constexpr std::chrono::milliseconds pollInterval{10};
     const auto topic = queryField(request.target, "topic");
+    while (isHeld(topic) && !m_isStopping) {
+        std::this_thread::sleep_for(pollInterval);
+    }
     if (request.target.find("log-newest") != std::string::npos) {
         return {.parts = {withLength(head("HTTP/1.1 200 OK"), newest(topic))}};
     }
@@ -159,6 +162,18 @@
     return {.parts = {withLength(head("HTTP/1.1 200 OK"), recordsFrom(topic, from))}};
 }
 
+void fake_log::holdReads(const std::string &topic)
+{
+    const std::lock_guard lock(m_mutex);
+    m_heldTopic = topic;
+}
+
+bool fake_log::isHeld(const std::string &topic) const
+{
+    const std::lock_guard lock(m_mutex);
+    return !topic.empty() && topic == m_heldTopic;
+}
+
 void fake_log::setAppends(append_mode mode)
 {
     const std::lock_guard lock(m_mutex);
--- a/test/entry_standins.h
+++ b/test/entry_standins.h
@@ -47,6 +47,8 @@
         refused,
     };
     void setAppends(append_mode mode);
+    /// Holds back the answers to reads of the topic from now on, or none if it is empty.
+    void holdReads(const std::string &topic);
     /// Number of records in a topic.
     [[nodiscard]] std::size_t endOf(const std::string &topic) const;
 
@@ -63,6 +65,7 @@
 
     void restoreTo(std::chrono::steady_clock::time_point copiedAt);
     [[nodiscard]] scripted_response serve(const received_request &request);
+    [[nodiscard]] bool isHeld(const std::string &topic) const;
     [[nodiscard]] scripted_response append(const received_request &request);
     [[nodiscard]] std::string newest(const std::string &topic) const;
     [[nodiscard]] std::string recordsFrom(const std::string &topic, std::size_t from) const;
@@ -72,6 +75,7 @@
     mutable std::mutex m_mutex;
     std::map<std::string, std::vector<appended_record>> m_topics;
     append_mode m_appends = append_mode::answered;
+    std::string m_heldTopic;
     int m_sequence = 0;
     int m_epoch = 0;
     std::chrono::steady_clock::time_point m_copiedAt;
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -21,10 +21,16 @@
         endEntries();
     }
 
+    /// Lets all entries leave, as SIGTERM does.
+    void requestStop()
+    {
+        m_isStopRequested = true;
+    }
+
     /// Ends all entries; others may be launched afterwards.
     void endEntries()
     {
-        m_isStopRequested = true;
+        requestStop();
         for (auto &thread : m_threads) {
             thread.join();
         }
--- a/test/stream_version_test.cpp
+++ b/test/stream_version_test.cpp
@@ -367,6 +367,90 @@
     EXPECT_TRUE(isWhole(resume(m_ports, "b1", "unknown", 2)));
 }
 
+/// Take-ups that wait for a reading of the list while the declarations change.
+class waiting_take_up_test : public stream_version_test
+{
+protected:
+    void SetUp() override
+    {
+        addEndpoint("v1");
+        m_breaksFirst = false;
+        launch(settingsForTests(m_ports, m_log.port()));
+        waitUntilReady(m_ports.readiness);
+        waitForDigests();
+    }
+
+    /// Sends take-ups of a stream that the entry does not know, and lets the list be read once the change has taken effect.
+    [[nodiscard]] std::vector<std::string> takeUpDuring(const std::function<void()> &change)
+    {
+        constexpr int takeUps = 4;
+        m_log.holdReads("keyed.servers");
+        std::vector<std::unique_ptr<raw_caller>> callers;
+        for (int i = 0; i < takeUps; ++i) {
+            callers.push_back(std::make_unique<raw_caller>(m_ports.callers));
+            callers.back()->send(draft("b" + std::to_string(i), "Connection: close\r\nResumes: unknown\r\nLast-Event-Id: 2\r\n"));
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        change();
+        std::this_thread::sleep_for(std::chrono::milliseconds(250));
+        m_log.holdReads("");
+        std::vector<std::string> answers;
+        for (auto &caller : callers) {
+            answers.push_back(caller->readAll());
+        }
+        return answers;
+    }
+
+    void declare(const nlohmann::json &declarations)
+    {
+        m_log.put("keyed.op", "config", declarations.dump());
+    }
+
+    /// The declarations in a later version, with the route of the take-ups under this name.
+    [[nodiscard]] nlohmann::json nextVersion(const std::string &routeName)
+    {
+        auto declarations = declarationsForTests();
+        declarations["version"] = ++m_version;
+        declarations["routes"].back()["name"] = routeName;
+        return declarations;
+    }
+
+private:
+    int m_version = 1;
+};
+
+// An entry that leaves kept a pointer into a freed version of the declarations and ended by an exception, with all requests that it had taken.
+TEST_F(waiting_take_up_test, AreServedByAnEntryThatLeavesAndGetsNewDeclarations)
+{
+    const auto answers = takeUpDuring([this] {
+        declare(nextVersion("renamed-to-a-name-that-is-not-stored-in-place"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        requestStop();
+    });
+    for (const auto &answer : answers) {
+        EXPECT_TRUE(isWhole(answer)) << answer;
+    }
+}
+
+TEST_F(waiting_take_up_test, FollowTheDeclarationsOfTheTimeAtWhichTheyGoOn)
+{
+    const auto statusesAfter = [this](const std::function<void(nlohmann::json &)> &change) {
+        declare(nextVersion("a-route-of-resumable-streams"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        auto declarations = nextVersion("the-route-in-the-version-after-it");
+        change(declarations);
+        std::set<int> statuses;
+        for (const auto &answer : takeUpDuring([&] { declare(declarations); })) {
+            statuses.insert(statusOf(answer));
+        }
+        return statuses;
+    };
+    EXPECT_EQ(statusesAfter([](auto &) {}), std::set<int>{200}) << "renamed";
+    EXPECT_EQ(statusesAfter([](auto &declarations) { declarations["routes"].back()["kind"] = "safe"; }), std::set<int>{200}) << "no longer a stream";
+    EXPECT_EQ(statusesAfter([](auto &declarations) { declarations["tenants"][0]["api_keys"] = {"key-2"}; }), std::set<int>{401}) << "other keys";
+    EXPECT_EQ(statusesAfter([](auto &declarations) { declarations["routes"].erase(declarations["routes"].size() - 1); }), std::set<int>{404}) << "removed";
+}
+
 TEST_F(stream_version_test, AStreamThatBrokeBeforeItsFirstEventMayBeginAtAnyVersion)
 {
     m_endpoints.push_back(std::make_unique<loopback_server>(
