An endpoint's records are ordered by their writers, not by their place alone

Cause: within an epoch the place alone ordered an endpoint's records. The log may execute a heartbeat seconds after it was written, and thus after a newer record of the same incarnation. Change: membership/record_order decides; leaving is final within an incarnation, an older incarnation does not follow a newer one, and a removed one returns with a higher sequence only. Impossible starts and sequences count as unknown. Peers are told of what a late record hides. Why it works: no order in which the log executes writes can undo what a writer cannot take back.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -435,12 +435,22 @@
         if (hold == duration{} || m_roster.find(record.key) == nullptr) {
             removeEndpoint(record.key, "removed");
         } else {
+            m_roster.noteRemoved(record.key);
             m_pendingRemovals.try_emplace(record.key, m_loop.now() + hold);
         }
         return;
     }
     try {
-        const auto endpoint = m_options.decoders.endpoint(record.key, *record.value);
+        const auto endpoint = withoutImpossibleNumbers(m_options.decoders.endpoint(record.key, *record.value), m_options.wallClock());
+        if (m_roster.isOutdated(endpoint, record.position())) {
+            m_log.write(event_number::record_outdated,
+                        {{"endpoint", endpoint.id},
+                         {"started", std::to_string(endpoint.startedAtMilliseconds)},
+                         {"sequence", std::to_string(endpoint.sequence)},
+                         {"draining", endpoint.isDraining ? "yes" : "no"},
+                         {"offset", std::to_string(record.offset)}});
+            return;
+        }
         m_streams.onListed({.service = endpoint.service, .softwareVersion = endpoint.softwareVersion}, m_loop.now());
         m_pendingRemovals.erase(record.key);
         if (m_roster.apply(endpoint, record.position())) {
@@ -449,6 +459,8 @@
                          {"service", endpoint.service},
                          {"address", toString(endpoint.address)},
                          {"draining", endpoint.isDraining ? "yes" : "no"},
+                         {"started", std::to_string(endpoint.startedAtMilliseconds)},
+                         {"sequence", std::to_string(endpoint.sequence)},
                          {"software", endpoint.softwareVersion},
                          {"offset", std::to_string(record.offset)}});
         }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -36,6 +36,8 @@
     std::function<bool()> isStopRequested;
     /// Returns whether a reload was requested, and clears the request.
     std::function<bool()> takeReloadRequest;
+    /// Wall clock of the machine, which may jump.
+    std::function<time_point()> wallClock = [] { return std::chrono::time_point_cast<duration>(std::chrono::system_clock::now()); };
     /// Reads the settings again on a reload request. They are not applied: only whether they differ from those in force is logged.
     /// Throws shunt_error if they are invalid.
     std::function<gateway_settings()> reloadSettings;
--- a/src/membership/endpoint_roster.cpp
+++ b/src/membership/endpoint_roster.cpp
@@ -64,13 +64,7 @@
 bool endpoint_roster::isOutdated(const endpoint_record &record, const std::optional<log_position> &place) const
 {
     const auto last = m_lastRecords.find(record.id);
-    if (last == m_lastRecords.end()) {
-        return false;
-    }
-    if (place && last->second.place && place->epoch == last->second.place->epoch) {
-        return place->offset <= last->second.place->offset;
-    }
-    return std::pair(record.startedAtMilliseconds, record.sequence) <= std::pair(last->second.startedAtMilliseconds, last->second.sequence);
+    return last != m_lastRecords.end() && wisteriashunt::isOutdated(record, place, last->second);
 }
 
 void endpoint_roster::evictOldestRemovedRecord(const std::string &exceptId)
@@ -92,14 +86,21 @@
     }
 }
 
-bool endpoint_roster::apply(const endpoint_record &record, const std::optional<log_position> &place)
+bool endpoint_roster::apply(const endpoint_record &newest, const std::optional<log_position> &place)
 {
-    if (isOutdated(record, place)) {
+    if (isOutdated(newest, place)) {
         return false;
     }
-    m_lastRecords[record.id] = {.startedAtMilliseconds = record.startedAtMilliseconds, .sequence = record.sequence, .place = place};
+    auto &last = m_lastRecords[newest.id];
+    auto record = newest;
+    record.isDraining = newest.isDraining || (last.isDraining && isSameIncarnation(newest, last));
+    const bool isDrainingByEarlierRecord = record.isDraining && !newest.isDraining;
+    last = {.startedAtMilliseconds = record.startedAtMilliseconds, .sequence = record.sequence, .isDraining = record.isDraining, .place = place};
     evictOldestRemovedRecord(record.id);
     const auto position = m_endpoints.find(record.id);
+    if (position != m_endpoints.end()) {
+        position->second->isDrainingByEarlierRecord = isDrainingByEarlierRecord;
+    }
     if (position != m_endpoints.end()) {
         const auto known = position->second;
         auto unchanged = known->record;
@@ -120,7 +121,8 @@
         }
         unlink(known);
     }
-    const auto endpoint = std::make_shared<listed_endpoint>(listed_endpoint{.record = record, .orderKey = mixBits(hashText(record.id))});
+    const auto endpoint = std::make_shared<listed_endpoint>(
+        listed_endpoint{.record = record, .isDrainingByEarlierRecord = isDrainingByEarlierRecord, .orderKey = mixBits(hashText(record.id))});
     takeNotice(*endpoint);
     m_endpoints[record.id] = endpoint;
     auto &service = m_services[record.service];
@@ -130,8 +132,16 @@
     return true;
 }
 
+void endpoint_roster::noteRemoved(const std::string &id)
+{
+    if (const auto last = m_lastRecords.find(id); last != m_lastRecords.end()) {
+        last->second.isRemoved = true;
+    }
+}
+
 bool endpoint_roster::remove(const std::string &id)
 {
+    noteRemoved(id);
     const auto position = m_endpoints.find(id);
     if (position == m_endpoints.end()) {
         return false;
@@ -174,7 +184,7 @@
 {
     std::vector<endpoint_incarnation> leaving;
     for (const auto &[id, endpoint] : m_endpoints) {
-        if (endpoint->notice.isLeaving && !endpoint->record.isDraining) {
+        if (endpoint->isDrainingByEarlierRecord || (endpoint->notice.isLeaving && !endpoint->record.isDraining)) {
             leaving.push_back(endpoint->incarnation());
         }
     }
--- a/src/membership/endpoint_roster.h
+++ b/src/membership/endpoint_roster.h
@@ -3,6 +3,7 @@
 
 #include "membership/endpoint_notices.h"
 #include "membership/keyed_record.h"
+#include "membership/record_order.h"
 #include "net/byte_channel.h"
 #include "wisteriashunt/time.h"
 
@@ -91,6 +92,8 @@
     bool isRemoved = false;
     /// What its answers have said. Set by endpoint_roster only.
     endpoint_notice notice;
+    /// Whether an earlier record of the incarnation said that it leaves and the newest one does not.
+    bool isDrainingByEarlierRecord = false;
     /// Hash of the ID, by which the endpoints of a service are ordered.
     std::uint64_t orderKey = 0;
 
@@ -111,11 +114,15 @@
 class endpoint_roster
 {
 public:
-    /// Applies a record of the list. A new incarnation replaces the old one and starts with fresh health. Returns true if anything but the
-    /// sequence changed; outdated records are ignored. Of two records of one epoch of the log, that with the later place is newer, whatever
-    /// they contain; otherwise their contents decide.
+    /// Applies a record of the list. A new incarnation replaces the old one and starts with fresh health, and an incarnation that has said that it
+    /// leaves stays so. Returns true if anything but the sequence changed; outdated records are ignored, see isOutdated().
     bool apply(const endpoint_record &record, const std::optional<log_position> &place = std::nullopt);
 
+    /// Whether the record was written before the newest one that was applied; see membership/record_order.h.
+    [[nodiscard]] bool isOutdated(const endpoint_record &record, const std::optional<log_position> &place) const;
+
+    /// Notes that the list no longer contains an endpoint that stays in use for a while.
+    void noteRemoved(const std::string &id);
     /// Removes an endpoint that the list no longer contains. Returns false if it was unknown.
     bool remove(const std::string &id);
 
@@ -125,7 +132,7 @@
     /// Records that an incarnation wants no requests of this entry for the time from now on. Returns false if that changes nothing.
     bool notePause(const endpoint_incarnation &incarnation, duration pause, time_point now);
 
-    /// Returns the listed endpoints that have said that they leave although the list does not say so.
+    /// Returns the listed endpoints that have said that they leave although their newest record does not say so.
     [[nodiscard]] std::vector<endpoint_incarnation> unlistedLeaving() const;
     /// Returns the number of listed endpoints that have asked this entry for a pause.
     [[nodiscard]] std::size_t pausedEndpoints(time_point now) const;
@@ -155,19 +162,10 @@
 
 private:
     void unlink(const endpoint_pointer &endpoint);
-    [[nodiscard]] bool isOutdated(const endpoint_record &record, const std::optional<log_position> &place) const;
 
     /// Copies what is known of the incarnation to the endpoint.
     void takeNotice(listed_endpoint &endpoint) const;
 
-    /// Start time and last sequence of an incarnation, and the place of that record. Used to recognize records that arrive after a newer one.
-    struct last_record
-    {
-        std::int64_t startedAtMilliseconds = 0;
-        std::int64_t sequence = 0;
-        std::optional<log_position> place;
-    };
-
     /// Limits the number of tracked records of removed endpoints by evicting the oldest.
     void evictOldestRemovedRecord(const std::string &exceptId);
 
--- a/test/leaving_endpoint_test.cpp
+++ b/test/leaving_endpoint_test.cpp
@@ -137,6 +137,40 @@
     EXPECT_EQ(m_endpoints[0]->requests().size(), 1U) << "after a newer record, a removal and an older copy of the log";
 }
 
+// A heartbeat that the log executed seconds late brought an endpoint that was draining back into use, and what it ran at its end was lost.
+TEST_F(leaving_endpoint_test, AHeartbeatThatTheLogExecutesLateDoesNotTakeItBack)
+{
+    addEndpoint([](const received_request &got) { return ok(got, "drains"); });
+    addEndpoint([](const received_request &got) { return ok(got, "stays"); });
+    const auto putRecord = [this](const std::string &state, int sequence) {
+        const nlohmann::json record{{"service", "s"},
+                                    {"address", absl::StrCat("127.0.0.1:", m_endpoints[0]->port())},
+                                    {"zone", "z"},
+                                    {"version", "v1"},
+                                    {"slots", 4},
+                                    {"state", state},
+                                    {"born", 1},
+                                    {"sequence", sequence}};
+        m_log.put("keyed.servers", "e0", record.dump());
+    };
+    launch(settingsForTests(m_entries[0], m_log.port(), {m_entries[0].control}));
+    waitUntilReady(m_entries[0].readiness);
+    putRecord("draining", 8);
+    std::this_thread::sleep_for(milliseconds(900));
+    const auto before = m_endpoints[0]->requests().size();
+    putRecord("ready", 5);
+    EXPECT_EQ(callFor(0, milliseconds(1200)), 0);
+    // An entry that starts now reads the late record only.
+    launch(settingsForTests(m_entries[1], m_log.port(), {m_entries[0].control}));
+    waitUntilReady(m_entries[1].readiness);
+    EXPECT_EQ(callFor(1, milliseconds(1200)), 0);
+    m_log.dropEndpoint("e0");
+    std::this_thread::sleep_for(milliseconds(900));
+    putRecord("ready", 6);
+    EXPECT_EQ(callFor(0, milliseconds(1200)), 0);
+    EXPECT_EQ(m_endpoints[0]->requests().size(), before);
+}
+
 TEST_F(leaving_endpoint_test, APeerLearnsOfItBeforeItsOwnFirstAnswer)
 {
     addEndpoint([](const received_request &got) { return scripted_response{.parts = {withLength(okHead(got) + leavingField, "leaves")}}; });
