Formatting, and a comparison of the outage watch's options

Cause: clang-format and clang-tidy (the timing of the list compares a member that had no comparison). Change: as they ask. Result: both are clean on these files.

--- a/src/gateway/log_follower.cpp
+++ b/src/gateway/log_follower.cpp
@@ -29,9 +29,10 @@
     , m_dialect(dialect)
     , m_options(options)
     , m_hooks(std::move(hooks))
-    , m_client(loop, {.server = options.log,
-                      .connectTimeout = std::chrono::duration_cast<std::chrono::milliseconds>(options.connectTimeout),
-                      .maxAnswerBytes = options.maxAnswerBytes})
+    , m_client(loop,
+               {.server = options.log,
+                .connectTimeout = std::chrono::duration_cast<std::chrono::milliseconds>(options.connectTimeout),
+                .maxAnswerBytes = options.maxAnswerBytes})
     , m_records(m_options.rules, [this](const keyed_record &record) { m_hooks.onRecord(record, {.heldUntil = m_outages.heldUntil()}); })
     , m_lastFailure(loop.now() - std::chrono::hours(1))
     , m_outages(options.outages)
--- a/src/membership/outage_watch.h
+++ b/src/membership/outage_watch.h
@@ -20,6 +20,8 @@
     duration minOutage = std::chrono::milliseconds(2400);
     /// Time after the log's return for which removals are held; see the sum in src/gateway/list_timing.h.
     duration recovery = std::chrono::milliseconds(2800);
+
+    bool operator==(const outage_watch_options &) const = default;
 };
 
 /// Judges the answers and failures of one topic's readings. Not thread-safe.
--- a/test/record_order_test.cpp
+++ b/test/record_order_test.cpp
@@ -20,7 +20,13 @@
 
 endpoint_record record(std::int64_t startedAt, std::int64_t sequence, bool isDraining = false)
 {
-    return {.id = "a", .service = "s", .address = {.ip = 1, .port = 80}, .slots = 4, .isDraining = isDraining, .startedAtMilliseconds = startedAt, .sequence = sequence};
+    return {.id = "a",
+            .service = "s",
+            .address = {.ip = 1, .port = 80},
+            .slots = 4,
+            .isDraining = isDraining,
+            .startedAtMilliseconds = startedAt,
+            .sequence = sequence};
 }
 
 /// A roster that reads records of one epoch in the order in which the log has executed them.
--- a/test/removal_hold_test.cpp
+++ b/test/removal_hold_test.cpp
@@ -53,7 +53,8 @@
         EXPECT_LE(timing.outages.recovery + tick, bounds.disturbed);
         const auto quietWhenSilent = timing.period + timing.timeout + timing.initialBackoff + answer;
         const bool isTakenForOutage = quietWhenSilent >= timing.outages.minOutage;
-        EXPECT_TRUE(!isTakenForOutage || timing.period + timing.outages.recovery + tick <= bounds.disturbed) << "a connection that went silent just after a reading";
+        EXPECT_TRUE(!isTakenForOutage || timing.period + timing.outages.recovery + tick <= bounds.disturbed)
+            << "a connection that went silent just after a reading";
     }
 }
 
@@ -140,8 +141,8 @@
                         }
                         const auto removal = time_point(cutEnd + removed);
                         const auto due = std::max(removal + bounds.drain, time_point(cutEnd) + bounds.disturbed);
-                        ASSERT_LE(entry.effectOf(removal, time_point(phase)), due)
-                            << "cut of " << cut.count() << " ms, phase " << phase.count() << " ms, removed " << removed.count() << " ms after it, peer " << hasPeer;
+                        ASSERT_LE(entry.effectOf(removal, time_point(phase)), due) << "cut of " << cut.count() << " ms, phase " << phase.count()
+                                                                                   << " ms, removed " << removed.count() << " ms after it, peer " << hasPeer;
                     }
                 }
             }
