A response whose status is none is malformed

Callers saw: a request whose endpoint answers with the status 000, 099, 20 or 101 gets 504 at its deadline, and the endpoint's slot is held until then; 999 is passed on with the endpoint's signature. Cause: every status below 200 counted as interim, and every other one as final. Change: only 100 to 599 in HTTP/1, without 101, is a response; anything else ends the attempt as malformed. Why it works: the reader knows at the end of the head that no response can follow.

--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -344,9 +344,21 @@
     return reader.m_headBytes > maxResponseHeadBytes ? 1 : 0;
 }
 
+/// Whether the protocol and the status code are those of an HTTP/1 response. Nobody asks for another protocol, so none is switched to.
+bool response_reader::isUsable(const http_parser &parser)
+{
+    constexpr unsigned int firstStatus = 100;
+    constexpr unsigned int switchingProtocols = 101;
+    constexpr unsigned int lastStatus = 599;
+    return parser.http_major == 1 && parser.status_code >= firstStatus && parser.status_code <= lastStatus && parser.status_code != switchingProtocols;
+}
+
 int response_reader::onHeadersComplete(http_parser *parser)
 {
     auto &reader = self(parser);
+    if (!isUsable(*parser)) {
+        return -1;
+    }
     constexpr int firstFinalStatus = 200;
     reader.m_isInterim = parser->status_code < firstFinalStatus;
     if (reader.m_isInterim) {
--- a/src/http/message_reader.h
+++ b/src/http/message_reader.h
@@ -111,6 +111,7 @@
 
 private:
     static response_reader &self(http_parser *parser);
+    static bool isUsable(const http_parser &parser);
     static int onStatus(http_parser *parser, const char *at, std::size_t length);
     static int onField(http_parser *parser, const char *at, std::size_t length);
     static int onValue(http_parser *parser, const char *at, std::size_t length);
--- a/test/message_reader_test.cpp
+++ b/test/message_reader_test.cpp
@@ -178,6 +178,40 @@
     EXPECT_EQ(m_reported, "");
 }
 
+// Status codes below 100 were skipped like interim responses, and the request waited for another one until its deadline.
+TEST_F(response_reader_test, AStatusThatIsNoneIsMalformed)
+{
+    for (const std::string line : {"HTTP/1.1 000 Trouble",
+                                   "HTTP/1.1 099 Trouble",
+                                   "HTTP/1.1 20 OK",
+                                   "HTTP/1.1 1000 Trouble",
+                                   "HTTP/1.1 600 Trouble",
+                                   "HTTP/1.1 999 Trouble",
+                                   "HTTP/1.1 -200 OK",
+                                   "HTTP/1.1 +200 OK",
+                                   "HTTP/1.1 2x0 OK",
+                                   "HTTP/1.1 OK",
+                                   "HTTP/1.1 101 Switching Protocols",
+                                   "HTTP/0.9 200 OK",
+                                   "HTTP/2.0 200 OK"}) {
+        m_reader.reset();
+        m_reader.feed(line + "\r\nContent-Length: 2\r\n\r\nhi");
+        EXPECT_TRUE(m_reader.isMalformed()) << line;
+        EXPECT_EQ(m_reported, "") << line;
+    }
+}
+
+TEST_F(response_reader_test, AnOddReasonOrMinorVersionIsPassedOn)
+{
+    for (const std::string line : {"HTTP/1.0 200", "HTTP/1.1 200 ", "HTTP/1.1 200 \x01\xff", "HTTP/1.7 599 Own"}) {
+        m_reader.reset();
+        m_reported.clear();
+        m_reader.feed(line + "\r\nContent-Length: 2\r\n\r\nhi");
+        EXPECT_FALSE(m_reader.isMalformed()) << line;
+        EXPECT_NE(m_reported.find("body hi;complete;"), std::string::npos) << line;
+    }
+}
+
 TEST(request_reader_test, AHeadOfManyShortLinesTakesLittleMoreThanOnTheWire)
 {
     constexpr std::size_t lines = 3500;
