A stream goes on with events or ends broken

Callers saw: after a stream broke off, the body of the next endpoint's 200 of another content type came in the middle of their stream, and the stream ended as complete; an answer without events ended it as complete as well. Text on a resumable route was begun again after its first half. Cause: any 2xx of the next endpoint counted as the rest of the stream. Change: an attempt that goes on with a stream is broken off if it is no event stream, begins with an event without an ID, or ends without any event; a whole empty stream in chunks still ends it, as nothing in the protocol marks the last event. Only streams of events are gone on with. Why it works: nothing is forwarded into a begun stream that does not show by its type and its first ID that it follows.

--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -27,6 +27,8 @@
 {
     std::optional<std::int64_t> first;
     std::optional<std::int64_t> last;
+    /// Whether the first event, other than a comment or a retry time, has no ID.
+    bool beginsWithoutId = false;
     /// Whether an event without an ID follows the one that has the last ID, or all events have none.
     bool endsWithoutId = false;
 };
@@ -38,6 +40,7 @@
     event_ids ids;
     bool hasEventLine = false;
     bool hasId = false;
+    bool hasContent = false;
     while (!events.empty()) {
         const auto end = std::min(events.find_first_of(lineEnds), events.size());
         const auto line = events.substr(0, end);
@@ -47,11 +50,14 @@
             hasId = true;
         }
         hasEventLine = hasEventLine || (!line.empty() && line.front() != commentMark);
+        hasContent = hasContent || (!line.empty() && line.front() != commentMark && !line.starts_with("retry:"));
         const bool isCrLf = events.substr(end, lineEnds.size()) == lineEnds;
         if (line.empty() && hasEventLine) {
+            ids.beginsWithoutId = ids.beginsWithoutId || (hasContent && !hasId && !ids.first);
             ids.endsWithoutId = !hasId;
             hasEventLine = false;
             hasId = false;
+            hasContent = false;
         }
         events.remove_prefix(std::min(end + (isCrLf ? lineEnds.size() : 1), events.size()));
     }
@@ -73,7 +79,7 @@
     m_returnedBytes = bufferedBytes + wholeBytes;
     const std::string_view events(m_buffer.data(), m_returnedBytes);
     const auto ids = idsOf(events);
-    if (ids.first && m_resumedAfter && *ids.first <= *m_resumedAfter) {
+    if (m_resumedAfter && (ids.beginsWithoutId || (ids.first && *ids.first <= *m_resumedAfter))) {
         m_isOutOfOrder = true;
         return {};
     }
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -29,7 +29,8 @@
     /// Discards the unfinished event. The next bytes come from another endpoint, which must resume after the last whole event.
     void dropPartial();
 
-    /// Whether the first event after dropPartial() repeats an event that was returned before. None of those bytes are returned.
+    /// Whether the first event after dropPartial() repeats an event that was returned before, or has no ID that shows that it does not. None of
+    /// those bytes are returned.
     [[nodiscard]] bool isOutOfOrder() const;
 
     /// Whether the bytes so far end within an event.
--- a/src/gateway/request_answers.cpp
+++ b/src/gateway/request_answers.cpp
@@ -41,8 +41,10 @@
     }
     settleOn(run);
     recordForwarding();
+    run.hasForwardedEvent = true;
     if (!m_hasForwarded) {
         m_hasForwarded = true;
+        m_forwardsEvents = isEventStream(run);
         recordTime(run);
         noteStreamBegun();
         std::string head;
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -104,6 +104,11 @@
 
 std::optional<std::string> request_session::breakOfCompleteAnswer(const upstream_attempt &run) const
 {
+    // An endpoint that has no event after the last one ends its stream as it would after others. Any other answer without an event is none.
+    const bool isEmptyStream = run.head.framing == body_framing::chunks && isEventStream(run);
+    if (run.isContinuation && isStreamSuccess(run) && !run.hasForwardedEvent && !isEmptyStream) {
+        return "no_event";
+    }
     if (isEventStream(run) && run.events.hasPartial()) {
         return "unfinished_event";
     }
@@ -135,6 +140,9 @@
             run.exchange->close();
             onBroken(run, "answer_too_large", toString(run.head.framing));
         }
+    } else if (run.isContinuation && !isEventStream(run)) {
+        run.exchange->close();
+        onBroken(run, "not_an_event_stream", toString(run.head.framing));
     } else if (m_caller != nullptr) {
         forwardEvents(run, isEventStream(run) ? run.events.feed(bytes) : bytes);
         run.updateCharge();
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -325,6 +325,7 @@
 {
     const auto run = std::make_shared<upstream_attempt>(m_context.running);
     run->events = std::move(m_run->events);
+    run->isContinuation = m_hasForwarded;
     m_run = run;
     start(run, placed);
     if (!m_hasForwarded && m_context.hedging.isOn()) {
@@ -374,7 +375,7 @@
 attempt_state request_session::state() const
 {
     return {.kind = m_route->kind,
-            .isResumable = m_route->isResumable && m_run->events.canResume(),
+            .isResumable = m_route->isResumable && m_run->events.canResume() && (!m_hasForwarded || m_forwardsEvents),
             .maxAttempts = m_route->maxAttempts,
             .sentAttempts = m_sentAttempts,
             .failedConnects = m_failedConnects,
--- a/src/gateway/request_session.h
+++ b/src/gateway/request_session.h
@@ -180,6 +180,8 @@
     /// Whether an endpoint has begun to run the request.
     bool m_hasBegunToRun = false;
     bool m_hasForwarded = false;
+    /// Whether the answer that the caller gets is a stream of events.
+    bool m_forwardsEvents = false;
     bool m_isFinished = false;
 
     /// Resumable streams: where the first event was written, once it has been.
--- a/src/gateway/upstream_attempt.h
+++ b/src/gateway/upstream_attempt.h
@@ -50,7 +50,11 @@
     time_point sentAt;
     /// Whether it was sent while another run went on.
     bool isHedge = false;
+    /// Whether it goes on with a stream of which the caller has a part.
+    bool isContinuation = false;
     bool hasFirstByte = false;
+    /// Whether an event of it was forwarded.
+    bool hasForwardedEvent = false;
     time_point firstByteAt;
     /// Whether an answer has shown that the request's traits crash no endpoint.
     bool hasCleared = false;
--- a/test/broken_answer_test.cpp
+++ b/test/broken_answer_test.cpp
@@ -340,6 +340,114 @@
     EXPECT_EQ(view.body, "data: a\n\n") << "the event must not come twice";
 }
 
+/// What the next endpoint answers to a stream that goes on.
+struct next_answer
+{
+    const char *name;
+    std::function<scripted_response(const received_request &got)> make;
+    /// Events after the first two that the caller gets.
+    std::string adds;
+    bool isWhole = false;
+};
+
+std::vector<next_answer> nextAnswers()
+{
+    const auto failure = [](const std::string &status) {
+        return [status](const received_request &got) {
+            return scripted_response{
+                .parts = {withLength("HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + attemptIdOf(got) + "\r\nX-Server-Seal: s\r\n", "error text\n\n")}};
+        };
+    };
+    const auto success = [](const std::string &fields, const std::string &body, bool isChunked) {
+        return [=](const received_request &got) {
+            const auto head = okHead(got) + fields;
+            return isChunked ? scripted_response{.parts = {head + "Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + std::string(lastChunk)}}
+                             : scripted_response{.parts = {withLength(head, body)}};
+        };
+    };
+    const std::string eventStream = "Content-Type: text/event-stream\r\n";
+    const std::string text = "Content-Type: text/plain\r\n";
+    return {{"NotFound", failure("404 Not Found"), ""},
+            {"Failed", failure("500 Failed"), ""},
+            {"Busy", failure("503 Busy"), ""},
+            {"NoStatus", failure("000 Trouble"), ""},
+            {"Found", failure("302 Found"), ""},
+            {"NoContent",
+             [](const auto &got) {
+                 return scripted_response{.parts = {"HTTP/1.1 204 None\r\nX-Attempt-Id: " + attemptIdOf(got) + "\r\nX-Server-Seal: s\r\n\r\n"}};
+             },
+             ""},
+            {"NoAnswer", [](const auto &) { return scripted_response{.closes = true}; }, ""},
+            {"HeadOnly", [](const auto &got) { return scripted_response{.parts = {okHead(got)}, .closes = true}; }, ""},
+            {"Text", success(text, "error: out of memory\n\n", false), ""},
+            {"TextInChunks", success(text, "error: out of memory\n\n", true), ""},
+            {"TextAsEvents", success(eventStream, "error: out of memory\n\n", true), ""},
+            {"EventWithoutId", success(eventStream, "event: error\ndata: out of memory\n\n", true), ""},
+            {"Empty", success(eventStream, "", false), ""},
+            {"EmptyText", success(text, "", true), ""},
+            {"EmptyInChunks", success(eventStream, "", true), "", true},
+            {"WrongPlace", success(eventStream, firstEvent + secondEvent + thirdEvent, true), ""},
+            {"PartOfAnEvent", success(eventStream, "id: 3\ndata", true), ""},
+            {"Rest", success(eventStream, ": note\n\n" + thirdEvent, true), ": note\n\n" + thirdEvent, true}};
+}
+
+class next_answer_test : public broken_answer_test, public ::testing::WithParamInterface<next_answer>
+{
+};
+
+// The text of another endpoint's failure came in the middle of a stream, or the stream ended as if it were complete.
+TEST_P(next_answer_test, ABrokenStreamGoesOnWithEventsOrEndsBroken)
+{
+    const auto handle = [](const received_request &got) {
+        if (!findHeader(got.headers, "last-event-id")) {
+            return scripted_response{.parts = {okHead(got) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(firstEvent) + chunk(secondEvent)}, .closes = true};
+        }
+        return GetParam().make(got);
+    };
+    start(handle, handle);
+    const auto view = viewOf(callOnce(request("/draft/")));
+    EXPECT_EQ(view.status, 200);
+    EXPECT_EQ(view.body, firstEvent + secondEvent + GetParam().adds);
+    EXPECT_EQ(view.isComplete, GetParam().isWhole);
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers, next_answer_test, ::testing::ValuesIn(nextAnswers()), [](const auto &tested) { return std::string(tested.param.name); });
+
+TEST_F(broken_answer_test, AnAnswerOfTextOnAStreamRouteIsNotBegunAgainInTheMiddle)
+{
+    const auto handle = [](const received_request &got) {
+        return scripted_response{.parts = {okHead(got) + "Content-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("half")}, .closes = true};
+    };
+    start(handle, handle);
+    const auto view = viewOf(callOnce(request("/draft/")));
+    EXPECT_FALSE(view.isComplete);
+    EXPECT_EQ(view.body, "half");
+}
+
+// A status that is none was waited behind for a final one until the deadline.
+TEST_F(broken_answer_test, AStatusThatIsNoneEndsTheRequestAtOnceWithoutTheEndpointsSignature)
+{
+    std::mutex mutex;
+    std::string status;
+    start([&](const received_request &got) {
+        const std::lock_guard lock(mutex);
+        return scripted_response{.parts = {withLength("HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + attemptIdOf(got) + "\r\nX-Server-Seal: s\r\n", "hi")}};
+    });
+    for (const std::string each : {"000 Trouble", "099 Trouble", "20 OK", "1000 Trouble", "999 Trouble", "101 Switching Protocols", "abc"}) {
+        {
+            const std::lock_guard lock(mutex);
+            status = each;
+        }
+        for (const std::string path : {"/read/", "/book/", "/talk/", "/draft/"}) {
+            const auto begin = std::chrono::steady_clock::now();
+            const auto reply = callOnce(request(path));
+            EXPECT_EQ(viewOf(reply).status, 502) << each << " " << path << ": " << reply;
+            EXPECT_EQ(reply.find("Server-Seal"), std::string::npos) << reply;
+            EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::seconds(1)) << each << " " << path;
+        }
+    }
+}
+
 /// A request of a caller that speaks HTTP/1.0 and knows no chunks.
 std::string http10Request(const std::string &path)
 {
