An entry that leaves refuses operations that may outlast its grace period

Callers saw: an operation that came late in the time in which an entry that leaves still takes requests was passed on, and its connection was closed without an answer at the end of the grace period. Cause: whether a request is taken depended on the time since SIGTERM alone. Change: mayTakeBeforeStop; an operation that may run only once is refused as not run if its own time limit ends after connections are closed. Evidence: gateway_test.AnEntryThatLeavesRefusesOperationsThatMayOutlastItsGracePeriod. Why it works: what is taken has ended, by its own limit, before the connection is closed.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -523,6 +523,7 @@
 {
     m_leavingSince = m_loop.now();
     m_context.isLeaving = true;
+    m_context.stopsAt = m_loop.now() + m_options.settings.gracePeriod - shutdownMargin;
     m_log.write(event_number::process_leaving, {{"open", std::to_string(m_context.openSessions)}, {"callers", std::to_string(m_callers.all().size())}});
     if (m_duties != nullptr) {
         m_duties->beginLeaving();
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -100,6 +100,8 @@
     bool refusesNewRequests = false;
     /// True from SIGTERM on.
     bool isLeaving = false;
+    /// When the connections of callers are closed, from SIGTERM on.
+    std::optional<time_point> stopsAt;
 
     /// What messages take, for the decisions of dispatch/memory_guard.h.
     [[nodiscard]] memory_use memoryUse() const
--- a/src/gateway/request_session.cpp
+++ b/src/gateway/request_session.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request_session.h"
 
 #include "dispatch/request_fingerprint.h"
+#include "dispatch/stop_admission.h"
 #include "gateway/refusal.h"
 #include "membership/hash.h"
 
@@ -83,10 +84,14 @@
     m_service = admitted.service;
     m_origin = admitted.origin;
     m_needsListReading = admitted.needsListReading;
-    if (!admitted.error) {
-        m_placementRequest = placementRequestOf(admitted, m_metadata);
+    if (admitted.error) {
+        return admitted.error;
     }
-    return admitted.error;
+    if (m_context.stopsAt && !mayTakeBeforeStop(m_route->kind, timeLimitOf(*m_route, m_metadata), *m_context.stopsAt - m_arrival)) {
+        return error_kind::shutting_down;
+    }
+    m_placementRequest = placementRequestOf(admitted, m_metadata);
+    return std::nullopt;
 }
 
 void request_session::noteStreamBegun()
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -58,7 +58,8 @@
         m_threads.emplace_back([this, text] {
             const boot_clock clock;
             auto settings = platform::parseSettings(text);
-            settings.acceptWhileLeaving = {};
+            settings.acceptWhileLeaving = m_acceptWhileLeaving;
+            settings.gracePeriod = m_gracePeriod;
             settings.metricsAddress.reset();
             settings.maxMemoryBytes = m_memoryBytes;
             settings.retries.slack = m_retrySlack;
@@ -109,6 +110,8 @@
     entry_ports m_ports;
     std::size_t m_memoryBytes = 260'000'000;
     double m_retrySlack = 52;
+    duration m_acceptWhileLeaving{};
+    duration m_gracePeriod = std::chrono::seconds(8);
     hedge_limits m_hedging;
 
 private:
--- a/test/gateway_test.cpp
+++ b/test/gateway_test.cpp
@@ -350,6 +350,25 @@
     close(listener);
 }
 
+// Operations that came late in the grace period were passed on, and cut off without an answer at its end.
+TEST_F(gateway_test, AnEntryThatLeavesRefusesOperationsThatMayOutlastItsGracePeriod)
+{
+    m_acceptWhileLeaving = std::chrono::milliseconds(2400);
+    m_gracePeriod = std::chrono::milliseconds(4000);
+    const std::chrono::milliseconds work(2900);
+    start([work](const received_request &got) { return scripted_response{.parts = {okHead(got), "Content-Length: 4\r\n\r\ndone"}, .pause = work}; });
+    requestStop();
+    raw_caller early(m_ports.callers);
+    early.send(request("/book/"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    const auto late = callOnce(request("/book/"));
+    EXPECT_NE(late.find("HTTP/1.1 503"), std::string::npos) << "its route allows 3 s, of which 2.6 s are left: " << late;
+    EXPECT_NE(late.find("Retry-After"), std::string::npos) << late;
+    EXPECT_NE(callOnce(request("/short/")).find(" 504 "), std::string::npos) << "an operation that ends before is taken";
+    EXPECT_NE(early.readResponse().find("done"), std::string::npos);
+    EXPECT_EQ(m_endpoints[0]->requests().size(), 2U);
+}
+
 TEST_F(gateway_test, ALateRefusalWithoutAnIdIsNotTakenForThatOfTheNextRequest)
 {
     std::atomic<int> ran{0};
