Soak: signals, versions and stops in series that overlap, and connections to the log that go silent

Cause: restarts were played one at a time, without new declarations or SIGHUP beside them, and the log's connections were cut only together. Change: planned restarts come with two versions and two SIGHUPs within 200 ms, also of two entries at once; a fault more.

--- a/test/entry_soak_test.cpp
+++ b/test/entry_soak_test.cpp
@@ -186,6 +186,43 @@
         m_processes[entry] = startProcess({SHUNT_ENTRY}, settingsPath(entry) + ".log", {std::string(platform::settingsVariable) + "=" + settingsPath(entry)});
     }
 
+    void putDeclarations()
+    {
+        auto declarations = declarationsForTests();
+        declarations["version"] = m_version;
+        for (auto &route : declarations["routes"]) {
+            route["name"] = route["name"].get<std::string>() + "-of-version-" + std::to_string(m_version);
+        }
+        m_log.put("keyed.op", "config", declarations.dump());
+    }
+
+    /// Brings a new version of the declarations, in which all routes have other names.
+    void declareNextVersion()
+    {
+        ++m_version;
+        putDeclarations();
+    }
+
+    /// Stops and starts entries, each while another one may still be leaving, beside new versions and signals in any order.
+    void restartInSeries(std::mt19937 &random, const std::vector<int> &series)
+    {
+        constexpr int maxPause = 100;
+        for (const int entry : series) {
+            declareNextVersion();
+            kill(m_processes[entry], SIGHUP);
+            sleepMilliseconds(static_cast<int>(random() % maxPause));
+            kill(m_processes[entry], SIGTERM);
+            declareNextVersion();
+            sleepMilliseconds(static_cast<int>(random() % maxPause));
+            kill(m_processes[entry], SIGHUP);
+        }
+        for (const int entry : series) {
+            EXPECT_EQ(waitForEnd(entry), 0) << "entry " << entry;
+            launch(entry);
+        }
+        waitUntil("all entries are ready", [this] { return allReady(); });
+    }
+
     /// Changes the limit on requests per second that an endpoint declares.
     void declareLimit(std::size_t endpoint, std::optional<double> perSecond)
     {
@@ -230,7 +267,7 @@
         m_log.restore(std::chrono::milliseconds(2500));
         meanwhile();
         sleepMilliseconds(700);
-        m_log.put("keyed.op", "config", declarationsForTests().dump());
+        putDeclarations();
         const std::array<std::string, endpoints> ids{"e0", "e1", m_thirdEndpoint};
         for (int i = 0; i < endpoints; ++i) {
             putEndpoint(ids[i], i);
@@ -284,6 +321,7 @@
     std::atomic<bool> m_isStopping{false};
     /// ID of the endpoint behind the third link.
     std::string m_thirdEndpoint = "e2";
+    int m_version = 1;
 
 private:
     /// Probes readiness like the platform's balancer: an entry that fails two probes in a row gets no new connections.
@@ -463,12 +501,11 @@
 
 TEST_F(entry_soak_test, PlannedRestartsCutNoRequestAndFaultsBreakNoGuarantee)
 {
+    std::mt19937 random(soakSeed());
     for (int entry = 0; entry < entries; ++entry) {
-        kill(m_processes[entry], SIGTERM);
-        EXPECT_EQ(waitForEnd(entry), 0) << "entry " << entry;
-        launch(entry);
-        waitUntil("all entries are ready", [this] { return allReady(); });
+        restartInSeries(random, {entry});
     }
+    restartInSeries(random, {0, 1});
     m_isBeforeFaults = false;
     std::thread limits([this] { changeLimits(); });
 
@@ -508,6 +545,11 @@
             sleepMilliseconds(1500);
             m_logLink.set(link_state::up);
         },
+        [this] {
+            m_logLink.silenceOpenConnections();
+            declareNextVersion();
+            sleepMilliseconds(1500);
+        },
         [this] {
             m_logLink.set(link_state::silent);
             excuseFromLimits(2);
@@ -536,7 +578,6 @@
             excuseFromLimits(1);
         },
     };
-    std::mt19937 random(soakSeed());
     std::shuffle(faults.begin(), faults.end(), random);
     for (const auto &fault : faults) {
         fault();
