An outdated record that stays in the list is of a live endpoint

Callers saw: nothing yet; found by reading the change before. An endpoint that lapsed and whose late heartbeat the log executes after the removal stays passed over, as its further heartbeats change nothing but the sequence, which the log does not tell. Change: such a record is applied once it has stayed for four heartbeats, in which that of an endpoint that has ended lapses again. Evidence: AnOldRecordAfterARemovalIsUsedOnceItHasOutlastedTheHeartbeatsToALapse.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -427,6 +427,7 @@
         m_log.write(event_number::record_unusable, {{"key", "-"}, {"reason", "a record without a key at " + std::to_string(record.offset)}});
         return;
     }
+    m_doubtfulRecords.erase(record.key);
     if (!record.value) {
         if (timing.heldUntil <= m_loop.now() || m_roster.find(record.key) == nullptr) {
             removeEndpoint(record.key, "removed");
@@ -439,12 +440,7 @@
     try {
         const auto endpoint = withoutImpossibleNumbers(m_options.decoders.endpoint(record.key, *record.value), m_options.wallClock());
         if (m_roster.isOutdated(endpoint, record.position())) {
-            m_log.write(event_number::record_outdated,
-                        {{"endpoint", endpoint.id},
-                         {"started", std::to_string(endpoint.startedAtMilliseconds)},
-                         {"sequence", std::to_string(endpoint.sequence)},
-                         {"draining", endpoint.isDraining ? "yes" : "no"},
-                         {"offset", std::to_string(record.offset)}});
+            onOutdatedRecord(endpoint, record.position());
             return;
         }
         m_streams.onListed({.service = endpoint.service, .softwareVersion = endpoint.softwareVersion}, m_loop.now());
@@ -465,6 +461,37 @@
     }
 }
 
+void gateway::onOutdatedRecord(const endpoint_record &endpoint, const log_position &place)
+{
+    // The record of an endpoint that has ended lapses after three heartbeats; the fourth is for reading that.
+    constexpr int heartbeatsToLapse = 4;
+    const bool mayBeLive = m_roster.mayBeLive(endpoint);
+    m_log.write(event_number::record_outdated,
+                {{"endpoint", endpoint.id},
+                 {"started", std::to_string(endpoint.startedAtMilliseconds)},
+                 {"sequence", std::to_string(endpoint.sequence)},
+                 {"draining", endpoint.isDraining ? "yes" : "no"},
+                 {"offset", std::to_string(place.offset)},
+                 {"may_be_live", mayBeLive ? "yes" : "no"}});
+    if (mayBeLive) {
+        m_doubtfulRecords[endpoint.id] = {.record = endpoint, .place = place, .due = m_loop.now() + heartbeatsToLapse * m_options.settings.heartbeat};
+    }
+}
+
+void gateway::readmitEndpoints()
+{
+    for (auto each = m_doubtfulRecords.begin(); each != m_doubtfulRecords.end();) {
+        if (m_loop.now() < each->second.due || !isEndpointListCurrent()) {
+            ++each;
+            continue;
+        }
+        m_log.write(event_number::endpoint_listed, {{"endpoint", each->first}, {"reason", "still_listed"}});
+        m_roster.readmit(each->second.record, each->second.place);
+        m_pendingRemovals.erase(each->first);
+        each = m_doubtfulRecords.erase(each);
+    }
+}
+
 void gateway::removeEndpoint(const std::string &id, std::string_view reason)
 {
     m_pendingRemovals.erase(id);
@@ -490,6 +517,7 @@
     for (const auto &id : expired) {
         removeEndpoint(id, "missing_after_outage");
     }
+    readmitEndpoints();
     m_quarantine.noteEntries(m_planner.liveEntries(m_loop.now()));
     onStreamTick();
     watchMemory(m_context, m_callers);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -65,6 +65,8 @@
     void onFault(const std::shared_ptr<caller_connection> &caller, read_fault fault);
     void onDeclarations(const keyed_record &record);
     void onEndpointRecord(const keyed_record &record, record_timing timing);
+    void onOutdatedRecord(const endpoint_record &endpoint, const log_position &place);
+    void readmitEndpoints();
     void removeEndpoint(const std::string &id, std::string_view reason);
     void onTick();
     void onReadinessCaller(int descriptor);
@@ -139,6 +141,14 @@
     std::unordered_map<caller_connection *, std::weak_ptr<request_session>> m_sessions;
     /// Endpoints whose records were removed around an outage of the log, and when the removal takes effect.
     std::map<std::string, time_point> m_pendingRemovals;
+    /// Outdated records that may be of live endpoints, by ID, and when they are applied if the list still has them; see endpoint_roster::mayBeLive().
+    struct doubtful_record
+    {
+        endpoint_record record;
+        log_position place;
+        time_point due;
+    };
+    std::map<std::string, doubtful_record> m_doubtfulRecords;
     /// The last endpoint that was told to peers as leaving; see nextByTurns().
     endpoint_incarnation m_lastLeavingTold;
     std::optional<time_point> m_leavingSince;
--- a/src/gateway/list_timing.h
+++ b/src/gateway/list_timing.h
@@ -13,7 +13,9 @@
 ///   period + answer, for an entry that reads the log itself;
 ///   period + answer + relayPeriod + tick + answer, for one that follows the list through another;
 ///   maxRelayedAge + check + answer, if that other one ends or is suspended;
-///   period + timeout + initialBackoff + answer, if the connection to the log has gone silent.
+///   period + timeout + initialBackoff + answer, if the connection to the log has gone silent,
+/// where answer is the time of a call, tick the period in which an entry looks whether a call to a relay is due, and check that in which it looks at the age
+/// of what the relay has told.
 ///
 /// A live endpoint whose record lapsed while the log was away is back lapseReturn after the log's return, and must stay in use until then. The log may
 /// have returned as soon as the last failed call had begun, which is retryGap before the first answer at most, and the record must be read. So
--- a/src/membership/endpoint_roster.cpp
+++ b/src/membership/endpoint_roster.cpp
@@ -132,6 +132,18 @@
     return true;
 }
 
+bool endpoint_roster::mayBeLive(const endpoint_record &record) const
+{
+    const auto last = m_lastRecords.find(record.id);
+    return last != m_lastRecords.end() && wisteriashunt::mayBeLive(record, last->second);
+}
+
+void endpoint_roster::readmit(const endpoint_record &record, const std::optional<log_position> &place)
+{
+    m_lastRecords.erase(record.id);
+    apply(record, place);
+}
+
 void endpoint_roster::noteRemoved(const std::string &id)
 {
     if (const auto last = m_lastRecords.find(id); last != m_lastRecords.end()) {
--- a/src/membership/endpoint_roster.h
+++ b/src/membership/endpoint_roster.h
@@ -121,6 +121,11 @@
     /// Whether the record was written before the newest one that was applied; see membership/record_order.h.
     [[nodiscard]] bool isOutdated(const endpoint_record &record, const std::optional<log_position> &place) const;
 
+    /// Whether an outdated record is to be applied with readmit() if the list still has it once the record of an endpoint that has ended would have lapsed.
+    [[nodiscard]] bool mayBeLive(const endpoint_record &record) const;
+    /// Applies a record although it is outdated.
+    void readmit(const endpoint_record &record, const std::optional<log_position> &place);
+
     /// Notes that the list no longer contains an endpoint that stays in use for a while.
     void noteRemoved(const std::string &id);
     /// Removes an endpoint that the list no longer contains. Returns false if it was unknown.
--- a/src/membership/record_order.cpp
+++ b/src/membership/record_order.cpp
@@ -27,6 +27,11 @@
     return record.startedAtMilliseconds != 0 && record.startedAtMilliseconds < last.startedAtMilliseconds;
 }
 
+bool mayBeLive(const endpoint_record &record, const last_record &last)
+{
+    return last.isRemoved && isSameIncarnation(record, last) && !last.isDraining && !record.isDraining;
+}
+
 endpoint_record withoutImpossibleNumbers(endpoint_record record, time_point wallClock)
 {
     constexpr std::chrono::minutes maxClockDifference{1};
--- a/src/membership/record_order.h
+++ b/src/membership/record_order.h
@@ -36,6 +36,10 @@
 /// Whether the record was written before the last one.
 [[nodiscard]] bool isOutdated(const endpoint_record &record, const std::optional<log_position> &place, const last_record &last);
 
+/// Whether an outdated record may nevertheless be of a live endpoint. It is if the log does not remove it again: the endpoint's further heartbeats then
+/// change nothing that the log would tell.
+[[nodiscard]] bool mayBeLive(const endpoint_record &record, const last_record &last);
+
 /// Returns the record without a start that lies in the future of the wall clock, and without a sequence that cannot have been reached since the
 /// start. Such numbers would keep later records out.
 [[nodiscard]] endpoint_record withoutImpossibleNumbers(endpoint_record record, time_point wallClock);
--- a/test/leaving_endpoint_test.cpp
+++ b/test/leaving_endpoint_test.cpp
@@ -70,6 +70,20 @@
         }
     }
 
+    /// Writes a record of the first endpoint, whose start is the same in all.
+    void putRecord(const std::string &state, int sequence)
+    {
+        const nlohmann::json record{{"service", "s"},
+                                    {"address", absl::StrCat("127.0.0.1:", m_endpoints[0]->port())},
+                                    {"zone", "z"},
+                                    {"version", "v1"},
+                                    {"slots", 4},
+                                    {"state", state},
+                                    {"born", 1},
+                                    {"sequence", sequence}};
+        m_log.put("keyed.servers", "e0", record.dump());
+    }
+
     std::string call(std::size_t entry, const std::string &path = "/read/1")
     {
         return callOnceAt(m_entries[entry].callers, request(path));
@@ -142,17 +156,6 @@
 {
     addEndpoint([](const received_request &got) { return ok(got, "drains"); });
     addEndpoint([](const received_request &got) { return ok(got, "stays"); });
-    const auto putRecord = [this](const std::string &state, int sequence) {
-        const nlohmann::json record{{"service", "s"},
-                                    {"address", absl::StrCat("127.0.0.1:", m_endpoints[0]->port())},
-                                    {"zone", "z"},
-                                    {"version", "v1"},
-                                    {"slots", 4},
-                                    {"state", state},
-                                    {"born", 1},
-                                    {"sequence", sequence}};
-        m_log.put("keyed.servers", "e0", record.dump());
-    };
     launch(settingsForTests(m_entries[0], m_log.port(), {m_entries[0].control}));
     waitUntilReady(m_entries[0].readiness);
     putRecord("draining", 8);
@@ -171,6 +174,22 @@
     EXPECT_EQ(m_endpoints[0]->requests().size(), before);
 }
 
+TEST_F(leaving_endpoint_test, AnOldRecordAfterARemovalIsUsedOnceItHasOutlastedTheHeartbeatsToALapse)
+{
+    addEndpoint([](const received_request &got) { return ok(got, "lapsed"); });
+    addEndpoint([](const received_request &got) { return ok(got, "stays"); });
+    putRecord("ready", 8);
+    launchEntries(1);
+    m_log.dropEndpoint("e0");
+    std::this_thread::sleep_for(milliseconds(900));
+    const auto before = m_endpoints[0]->requests().size();
+    putRecord("ready", 5);
+    EXPECT_EQ(callFor(0, milliseconds(3600)), 0);
+    EXPECT_EQ(m_endpoints[0]->requests().size(), before);
+    EXPECT_EQ(callFor(0, milliseconds(3000)), 0);
+    EXPECT_GT(m_endpoints[0]->requests().size(), before);
+}
+
 TEST_F(leaving_endpoint_test, APeerLearnsOfItBeforeItsOwnFirstAnswer)
 {
     addEndpoint([](const received_request &got) { return scripted_response{.parts = {withLength(okHead(got) + leavingField, "leaves")}}; });
--- a/test/record_order_test.cpp
+++ b/test/record_order_test.cpp
@@ -110,6 +110,19 @@
     EXPECT_TRUE(isEligible()) << "written by an endpoint that had lapsed";
 }
 
+TEST_F(record_order_test, AnOutdatedRecordThatStaysIsOfALiveEndpointUnlessItDrained)
+{
+    read(record(started, 5));
+    readRemoval();
+    EXPECT_TRUE(m_roster.mayBeLive(record(started, 4)));
+    EXPECT_FALSE(m_roster.mayBeLive(record(started - 1, 4)));
+    m_roster.readmit(record(started, 4), std::nullopt);
+    EXPECT_TRUE(isEligible());
+    read(record(started, 6, true));
+    readRemoval();
+    EXPECT_FALSE(m_roster.mayBeLive(record(started, 4)));
+}
+
 TEST_F(record_order_test, ARemovalThatDoesNotTakeEffectYetOrdersRecordsToo)
 {
     read(record(started, 5));
