--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -463,8 +463,8 @@
 
 void gateway::onOutdatedRecord(const endpoint_record &endpoint, const log_position &place)
 {
-    // The record of an endpoint that has ended lapses after three heartbeats; the fourth is for reading that.
-    constexpr int heartbeatsToLapse = 4;
+    // The record of an endpoint that has ended expires after three heartbeats; the fourth is for reading that.
+    constexpr int heartbeatsToExpiry = 4;
     const bool mayBeLive = m_roster.mayBeLive(endpoint);
     m_log.write(event_number::record_outdated,
                 {{"endpoint", endpoint.id},
@@ -474,7 +474,7 @@
                  {"offset", std::to_string(place.offset)},
                  {"may_be_live", mayBeLive ? "yes" : "no"}});
     if (mayBeLive) {
-        m_doubtfulRecords[endpoint.id] = {.record = endpoint, .place = place, .due = m_loop.now() + heartbeatsToLapse * m_options.settings.heartbeat};
+        m_doubtfulRecords[endpoint.id] = {.record = endpoint, .place = place, .due = m_loop.now() + heartbeatsToExpiry * m_options.settings.heartbeat};
     }
 }
 
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -57,7 +57,7 @@
     duration acceptWhileLeaving = std::chrono::milliseconds(2400);
     /// Time after the list marks an endpoint as draining, by the end of which it must get no more work.
     duration maxDrainDelay = std::chrono::seconds(2);
-    /// Pause between two records of an endpoint, whose record lapses after three of them.
+    /// Pause between two records of an endpoint, whose record expires after three of them.
     duration heartbeat = std::chrono::milliseconds(1200);
     /// Time within which new declarations must be in force at every entry.
     duration convergenceTime = std::chrono::seconds(2);
--- a/src/gateway/list_timing.cpp
+++ b/src/gateway/list_timing.cpp
@@ -23,7 +23,7 @@
             .maxBackoff = maxBackoff,
             .relayPeriod = fromSeconds(relayPeriodShare * toSeconds(maxDrainDelay)),
             .maxRelayedAge = fromSeconds(maxRelayedAgeShare * toSeconds(maxDrainDelay)),
-            .outages = {.minOutage = heartbeatsOfShortestOutage * heartbeat, .recovery = lapseReturn + holdPeriod + connectTimeout + maxBackoff}};
+            .outages = {.minOutage = heartbeatsOfShortestOutage * heartbeat, .recovery = reregistrationTime + holdPeriod + connectTimeout + maxBackoff}};
 }
 
 } // namespace wisteriashunt
--- a/src/gateway/list_timing.h
+++ b/src/gateway/list_timing.h
@@ -17,9 +17,9 @@
 /// where answer is the time of a call, tick the period in which an entry looks whether a call to a relay is due, and check that in which it looks at the age
 /// of what the relay has told.
 ///
-/// A live endpoint whose record lapsed while the log was away is back lapseReturn after the log's return, and must stay in use until then. The log may
-/// have returned as soon as the last failed call had begun, which is retryGap before the first answer at most, and the record must be read. So
-///   recovery = lapseReturn + holdPeriod + retryGap, where retryGap = connectTimeout + maxBackoff.
+/// A live endpoint whose record expired while the log was away is back reregistrationTime after the log's return, and must stay in use until then. The log
+/// may have returned as soon as the last failed call had begun, which is retryGap before the first answer at most, and the record must be read. So
+///   recovery = reregistrationTime + holdPeriod + retryGap, where retryGap = connectTimeout + maxBackoff.
 /// An entry that was cut off alone, without peers that tell it that the log was there, holds a removal until recovery + tick after the end of the cut.
 struct list_timing
 {
@@ -42,9 +42,9 @@
 };
 
 /// Time after the log's return within which the records of live endpoints are back, as the platform documents it.
-inline constexpr std::chrono::milliseconds lapseReturn{2000};
+inline constexpr std::chrono::milliseconds reregistrationTime{2000};
 
-/// heartbeat: the pause between two records of an endpoint, which lapses after three of them.
+/// heartbeat: the pause between two records of an endpoint, which expires after three of them.
 [[nodiscard]] list_timing listTimingOf(duration maxDrainDelay, duration heartbeat);
 
 } // namespace wisteriashunt
--- a/src/membership/endpoint_roster.h
+++ b/src/membership/endpoint_roster.h
@@ -121,7 +121,7 @@
     /// Whether the record was written before the newest one that was applied; see membership/record_order.h.
     [[nodiscard]] bool isOutdated(const endpoint_record &record, const std::optional<log_position> &place) const;
 
-    /// Whether an outdated record is to be applied with readmit() if the list still has it once the record of an endpoint that has ended would have lapsed.
+    /// Whether an outdated record is to be applied with readmit() if the list still has it once the record of an endpoint that has ended would have expired.
     [[nodiscard]] bool mayBeLive(const endpoint_record &record) const;
     /// Applies a record although it is outdated.
     void readmit(const endpoint_record &record, const std::optional<log_position> &place);
--- a/src/membership/outage_watch.h
+++ b/src/membership/outage_watch.h
@@ -1,7 +1,7 @@
 /// When the platform's log was away, as far as one entry can tell, and for how long removals that this may have caused are held.
 ///
-/// The record of a live endpoint lapses when the log has been away for several heartbeats, and is back within two seconds of the log's return. A
-/// removal that is read in that time may be such a lapse; at all other times it is meant, however many calls of this entry have failed. What tells
+/// The record of a live endpoint expires when the log has been away for several heartbeats, and is back within two seconds of the log's return. A
+/// removal that is read in that time may be such an expiry; at all other times it is meant, however many calls of this entry have failed. What tells
 /// the two apart is whether the log answered anybody: one entry's connection may fail while the log is there.
 #pragma once
 
@@ -15,7 +15,7 @@
 /// Settings of outage_watch.
 struct outage_watch_options
 {
-    /// Time without any answer of the log within which no record of a live endpoint lapses. A record lapses after three heartbeats of silence, and
+    /// Time without any answer of the log within which no record of a live endpoint expires. A record expires after three heartbeats of silence, and
     /// the log may have been away from just after one heartbeat until just before another.
     duration minOutage = std::chrono::milliseconds(2400);
     /// Time after the log's return for which removals are held; see the sum in src/gateway/list_timing.h.
--- a/test/leaving_endpoint_test.cpp
+++ b/test/leaving_endpoint_test.cpp
@@ -174,9 +174,9 @@
     EXPECT_EQ(m_endpoints[0]->requests().size(), before);
 }
 
-TEST_F(leaving_endpoint_test, AnOldRecordAfterARemovalIsUsedOnceItHasOutlastedTheHeartbeatsToALapse)
+TEST_F(leaving_endpoint_test, AnOldRecordAfterARemovalIsUsedOnceItHasOutlastedTheHeartbeatsToItsExpiry)
 {
-    addEndpoint([](const received_request &got) { return ok(got, "lapsed"); });
+    addEndpoint([](const received_request &got) { return ok(got, "expired"); });
     addEndpoint([](const received_request &got) { return ok(got, "stays"); });
     putRecord("ready", 8);
     launchEntries(1);
--- a/test/record_order_test.cpp
+++ b/test/record_order_test.cpp
@@ -107,7 +107,7 @@
     read(record(started, 4));
     EXPECT_EQ(m_roster.find("a"), nullptr) << "written before the removal";
     read(record(started, 6));
-    EXPECT_TRUE(isEligible()) << "written by an endpoint that had lapsed";
+    EXPECT_TRUE(isEligible()) << "written by an endpoint whose record had expired";
 }
 
 TEST_F(record_order_test, AnOutdatedRecordThatStaysIsOfALiveEndpointUnlessItDrained)
--- a/test/removal_hold_test.cpp
+++ b/test/removal_hold_test.cpp
@@ -16,8 +16,8 @@
 using std::chrono::seconds;
 
 constexpr milliseconds heartbeat{1200};
-/// Heartbeats of silence after which a record lapses.
-constexpr int heartbeatsToLapse = 3;
+/// Heartbeats of silence after which a record expires.
+constexpr int heartbeatsToExpiry = 3;
 /// Period of the entry's ticks, and of its looks at the age of what a relay has told.
 constexpr milliseconds tick{100};
 constexpr milliseconds check{50};
@@ -63,7 +63,7 @@
     for (const auto &bounds : deployments) {
         const auto timing = listTimingOf(bounds.drain, heartbeat);
         const auto returnBeforeFirstAnswer = timing.connectTimeout + timing.maxBackoff;
-        EXPECT_GE(timing.outages.recovery, lapseReturn + timing.holdPeriod + returnBeforeFirstAnswer);
+        EXPECT_GE(timing.outages.recovery, reregistrationTime + timing.holdPeriod + returnBeforeFirstAnswer);
     }
 }
 
@@ -159,13 +159,14 @@
                 const auto logReturn = seconds(10) + outage;
                 read_schedule entry(timing);
                 entry.setAway(seconds(10), logReturn);
-                // A record lapses while the log is away, or when the log is back and misses its heartbeats.
-                const bool canLapse = outage >= (heartbeatsToLapse - 1) * heartbeat;
+                // A record expires while the log is away, or when the log is back and misses its heartbeats.
+                const bool canExpire = outage >= (heartbeatsToExpiry - 1) * heartbeat;
                 const auto effect = entry.effectOf(time_point(logReturn), time_point(phase));
-                if (canLapse) {
-                    EXPECT_GE(effect, time_point(logReturn) + lapseReturn + timing.holdPeriod) << outage.count() << " s, phase " << phase.count() << " ms";
+                if (canExpire) {
+                    EXPECT_GE(effect, time_point(logReturn) + reregistrationTime + timing.holdPeriod)
+                        << outage.count() << " s, phase " << phase.count() << " ms";
                 } else {
-                    EXPECT_LE(effect, time_point(logReturn) + bounds.drain) << "nothing lapses in so short an outage";
+                    EXPECT_LE(effect, time_point(logReturn) + bounds.drain) << "nothing expires in so short an outage";
                 }
             }
         }
@@ -227,7 +228,7 @@
     fault_proxy m_logLink{m_log.port()};
 };
 
-// After a connection to the log had gone silent, an entry took each removal for a lapse and sent requests to the endpoint until it ended.
+// After a connection to the log had gone silent, an entry took each removal for an expiry and sent requests to the endpoint until it ended.
 TEST_F(removal_at_entry_test, OneSilentConnectionIsNoOutage)
 {
     static_cast<void>(callFor(milliseconds(800)));
@@ -240,7 +241,7 @@
     EXPECT_LE(callFor(milliseconds(4000)), due);
 }
 
-TEST_F(removal_at_entry_test, EndpointsThatLapsedInAnOutageStayInUseUntilTheyAreBack)
+TEST_F(removal_at_entry_test, EndpointsWhoseRecordsExpiredInAnOutageStayInUseUntilTheyAreBack)
 {
     static_cast<void>(callFor(milliseconds(800)));
     m_logLink.set(link_state::reset);
