Two comments: what a removed incarnation may return with, and what is doubtful

Cause: one said that a sequence must be higher where an equal one is taken; the other stood at the struct and spoke of the map. Change: comments.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -141,13 +141,14 @@
     std::unordered_map<caller_connection *, std::weak_ptr<request_session>> m_sessions;
     /// Endpoints whose records were removed around an outage of the log, and when the removal takes effect.
     std::map<std::string, time_point> m_pendingRemovals;
-    /// Outdated records that may be of live endpoints, by ID, and when they are applied if the list still has them; see endpoint_roster::mayBeLive().
+    /// An outdated record that may be of a live endpoint, and when it is applied if the list still has it; see endpoint_roster::mayBeLive().
     struct doubtful_record
     {
         endpoint_record record;
         log_position place;
         time_point due;
     };
+    /// By the ID of the endpoint.
     std::map<std::string, doubtful_record> m_doubtfulRecords;
     /// The last endpoint that was told to peers as leaving; see nextByTurns().
     endpoint_incarnation m_lastLeavingTold;
--- a/src/membership/record_order.h
+++ b/src/membership/record_order.h
@@ -2,7 +2,7 @@
 ///
 /// The log may execute a write seconds after it was sent, so within an epoch the place of a record says when the log executed it. What the writers
 /// cannot have meant is left out: an incarnation that leaves does not return, a newer incarnation is not followed by an older one, and a removed
-/// incarnation returns with a higher sequence only.
+/// incarnation does not return with a lower sequence.
 #pragma once
 
 #include "membership/keyed_record.h"
