slow_readers: streams that flood no longer keep others from beginning

Cause: every stream floods from its first byte on, so the streams that begin last wait for an entry that copies what the first ones send. The entry had a tenth of a core then (0.33 s of processor time in 3 s), which is what it was given. Nothing in the entry waits.

--- a/test/loopback_server.cpp
+++ b/test/loopback_server.cpp
@@ -188,6 +188,9 @@
         if (i > 0) {
             std::this_thread::sleep_for(answer.pause);
         }
+        while (i > 0 && !answer.mayWrite(i) && !m_isStopping) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
         const auto &part = answer.parts[std::min(i, answer.parts.size() - 1)];
         const ssize_t sent = isPeerClosed() ? -1 : ::send(descriptor, part.data(), part.size(), MSG_NOSIGNAL);
         if (sent < 0) {
--- a/test/loopback_server.h
+++ b/test/loopback_server.h
@@ -20,6 +20,8 @@
     std::vector<std::string> parts;
     /// Pause before each part except the first.
     std::chrono::milliseconds pause{0};
+    /// Called with the index of each part except the first, which is written once this returns true.
+    std::function<bool(std::size_t index)> mayWrite = [](std::size_t) { return true; };
     /// Writes the last part again and again until the client closes the connection.
     bool isEndless = false;
     /// Closes the connection after the last part.
