The version orders declarations that the log executes late

Seen in a test: the log executes version 3 of the declarations and then version 2. An entry that starts after that answers requests for a route of version 3 with 404 until the next version, while all others serve them.

Entries that run apply only higher versions, but store and pass on the later record; and a peer at the same place of the log answers that nothing is new.

Change: the contents decide for declarations within an epoch too, and an entry that hears of a higher version asks for all records. Entries of the version before answer such a call with all records already.

--- a/src/gateway/peer_records.cpp
+++ b/src/gateway/peer_records.cpp
@@ -22,7 +22,8 @@
 using packed_snapshot = std::tuple<std::int64_t, std::vector<packed_record>, std::int64_t, packed_currency, std::string, bool>;
 
 constexpr std::string_view recordsPath = "/records/";
-/// Names the place in the log up to which the caller knows the records. If it is that of the answering entry, the answer has none.
+/// Names the place in the log up to which the caller knows the records. If it is that of the answering entry, the answer has none. Without it, the
+/// answer has all.
 constexpr std::string_view knownParameter = "?known=";
 /// Asks for an answer by records that are read after the call. Entries of earlier versions answer without.
 constexpr std::string_view freshParameter = "&fresh=1";
@@ -58,8 +59,13 @@
 
 std::string recordsRequest(const log_follower &follower, const socket_address &peer, std::string_view parameters)
 {
-    return "GET " + std::string(recordsPath) + follower.topic() + std::string(knownParameter) + toString(follower.position()) + std::string(parameters)
-        + " HTTP/1.1\r\nHost: " + wisteriashunt::toString(peer) + "\r\n\r\n";
+    return "GET " + std::string(recordsPath) + follower.topic() + std::string(parameters) + " HTTP/1.1\r\nHost: " + wisteriashunt::toString(peer) + "\r\n\r\n";
+}
+
+/// Returns the parameter that states what the follower knows.
+std::string knownBy(const log_follower &follower)
+{
+    return std::string(knownParameter) + toString(follower.position());
 }
 
 } // namespace
@@ -254,7 +260,7 @@
         }
         endFresh(follower, state, true);
     };
-    state.client->call(recordsRequest(follower, peer, freshParameter),
+    state.client->call(recordsRequest(follower, peer, knownBy(follower) + std::string(freshParameter)),
                        m_options.freshTimeout,
                        {.onAnswer = onAnswer, .onFailure = [fail](const failed_call &failed) { fail(failed.reason); }});
 }
@@ -321,7 +327,9 @@
     state.timeout = m_loop.schedule(m_loop.now() + m_options.timeout, [fail] { fail("timeout"); });
     const auto status = std::make_shared<int>(0);
     const auto body = std::make_shared<std::string>();
-    state.connection->send(recordsRequest(follower, peer, {}),
+    // A peer that is ahead at the same place knows records that the log has followed by outdated ones.
+    const bool wantsAll = state.aheadSince != time_point{};
+    state.connection->send(recordsRequest(follower, peer, wantsAll ? std::string() : knownBy(follower)),
                            {.onHead =
                                 [status](http_response_head &head) {
                                     *status = head.status;
--- a/src/membership/record_decoders.cpp
+++ b/src/membership/record_decoders.cpp
@@ -19,7 +19,8 @@
         }
     };
     return {.isOlder = [versionOf](const keyed_record &first, const keyed_record &second) { return versionOf(first) < versionOf(second); },
-            .keepsLostRecords = true};
+            .keepsLostRecords = true,
+            .mayBeExecutedLate = true};
 }
 
 topic_rules endpointRules(const record_decoders &decoders)
--- a/src/membership/topic_records.cpp
+++ b/src/membership/topic_records.cpp
@@ -178,6 +178,9 @@
 bool topic_records::supersedes(const keyed_record &candidate, const keyed_record &known) const
 {
     if (candidate.epoch == known.epoch) {
+        if (m_rules.mayBeExecutedLate && candidate.value && (m_rules.isOlder(candidate, known) || m_rules.isOlder(known, candidate))) {
+            return m_rules.isOlder(known, candidate);
+        }
         return candidate.offset > known.offset;
     }
     if (candidate.epoch > known.epoch) {
--- a/src/membership/topic_records.h
+++ b/src/membership/topic_records.h
@@ -1,7 +1,8 @@
 /// The newest known record of each key of one topic, and what to read next from the log. Without I/O and clock.
 ///
-/// Within an epoch, offsets order the records. Across epochs they do not: the log may have returned from a copy that lacks its newest
-/// records. There the records' own contents decide, so that what a record states never goes back.
+/// Within an epoch, offsets order the records, unless the topic's rules say that the log may execute writes late. Across epochs offsets order
+/// nothing: the log may have returned from a copy that lacks its newest records. There the records' own contents decide, so that what a record
+/// states never goes back.
 #pragma once
 
 #include "membership/keyed_record.h"
@@ -16,13 +17,15 @@
 namespace wisteriashunt
 {
 
-/// Properties of a topic's records that decide between records of different epochs.
+/// Properties of a topic's records that decide between two records of a key.
 struct topic_rules
 {
     /// Whether the first record is an older state of the key than the second one, by their contents. Both have values.
     std::function<bool(const keyed_record &first, const keyed_record &second)> isOlder = [](const keyed_record &, const keyed_record &) { return false; };
     /// Whether records that a new epoch lacks are kept. Otherwise they are removed.
     bool keepsLostRecords = false;
+    /// Whether the contents decide within an epoch as well, where a later offset may hold an earlier write that the log has executed late.
+    bool mayBeExecutedLate = false;
 };
 
 /// What the first reading of a new epoch changed.
--- a/test/store_restore_property_test.cpp
+++ b/test/store_restore_property_test.cpp
@@ -1,6 +1,6 @@
 // Property test of the records that entries keep of the platform's log, which at any moment may return from a copy that lacks its newest
-// records. Operators and endpoints write, endpoints come, drain, go and reuse addresses, entries start, answers are late or lost, and the log
-// refuses some entries, which then learn from others.
+// records. Operators and endpoints write, the log executes versions of the operators' declarations late, endpoints come, drain, go and reuse
+// addresses, entries start, answers are late or lost, and the log refuses some entries, which then learn from others.
 #include "membership/record_decoders.h"
 #include "wisteriashunt/errors.h"
 
@@ -307,6 +307,10 @@
         case 16:
             writeAgain();
             break;
+        case 17:
+            // The log executes an operator's earlier write late.
+            m_log.append(declarations, configKey, std::to_string(m_version - 1 - argument % 3));
+            break;
         default:
             restart(index % entryCount);
             break;
@@ -467,7 +471,7 @@
 
 RC_GTEST_PROP(store_restore_property_test, NothingGoesBackAndAllEntriesConverge, ())
 {
-    constexpr int actions = 18;
+    constexpr int actions = 19;
     constexpr int maxArgument = 1000;
     const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(rc::gen::inRange(0, actions), rc::gen::inRange(0, maxArgument)));
     restore_simulation simulation;
