A log line for declarations that the log executes late

Cause: since the version orders declarations, a late or unreadable one behind a later version was passed over without a line; an unreadable one had one (record_unusable).

Change: topic_records reports records that are kept out this way; event 320 configuration_outdated names both versions, and unreadable ones are record_unusable as before.

--- a/src/evidence/decision.cpp
+++ b/src/evidence/decision.cpp
@@ -58,6 +58,8 @@
         return "endpoint_suspended";
     case event_number::record_outdated:
         return "record_outdated";
+    case event_number::configuration_outdated:
+        return "configuration_outdated";
     case event_number::record_unusable:
         return "record_unusable";
     case event_number::hedge_sent:
--- a/src/evidence/decision.h
+++ b/src/evidence/decision.h
@@ -55,6 +55,7 @@
     request_freed = 317,
     request_tried = 318,
     record_outdated = 319,
+    configuration_outdated = 320,
     peer_up = 401,
     peer_down = 402,
     peer_refused = 403,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -130,6 +130,7 @@
                               .rules = declarationRules(m_options.decoders)},
                              {.isReadElsewhere = [this] { return hasReaders(); },
                               .onRecord = [this](const keyed_record &record, record_timing) { onDeclarations(record); },
+                              .onOutdated = [this](const keyed_record &record) { onOutdatedDeclarations(record); },
                               .onEpoch = [this](std::int64_t epoch) { m_endpointsFollower.noteEpoch(epoch); }})
     , m_endpointsFollower(m_loop,
                           m_log,
@@ -421,6 +422,21 @@
     }
 }
 
+void gateway::onOutdatedDeclarations(const keyed_record &record)
+{
+    if (record.key != m_options.decoders.declarationsKey) {
+        return;
+    }
+    try {
+        m_log.write(event_number::configuration_outdated,
+                    {{"version", std::to_string(m_options.decoders.declarations(*record.value).version)},
+                     {"in_force", std::to_string(declarationsVersion())},
+                     {"offset", std::to_string(record.offset)}});
+    } catch (const shunt_error &error) {
+        m_log.write(event_number::record_unusable, {{"key", record.key}, {"reason", error.what()}});
+    }
+}
+
 void gateway::onEndpointRecord(const keyed_record &record, record_timing timing)
 {
     if (record.key.empty()) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -64,6 +64,8 @@
     void onReadinessRequest(const std::shared_ptr<caller_connection> &caller, const received_request &request);
     void onFault(const std::shared_ptr<caller_connection> &caller, read_fault fault);
     void onDeclarations(const keyed_record &record);
+    /// The log executed them after a later version.
+    void onOutdatedDeclarations(const keyed_record &record);
     void onEndpointRecord(const keyed_record &record, record_timing timing);
     void onOutdatedRecord(const endpoint_record &endpoint, const log_position &place);
     void readmitEndpoints();
--- a/src/gateway/log_follower.cpp
+++ b/src/gateway/log_follower.cpp
@@ -33,7 +33,10 @@
                {.server = options.log,
                 .connectTimeout = std::chrono::duration_cast<std::chrono::milliseconds>(options.connectTimeout),
                 .maxAnswerBytes = options.maxAnswerBytes})
-    , m_records(m_options.rules, [this](const keyed_record &record) { m_hooks.onRecord(record, {.heldUntil = m_outages.heldUntil()}); })
+    , m_records(
+          m_options.rules,
+          [this](const keyed_record &record) { m_hooks.onRecord(record, {.heldUntil = m_outages.heldUntil()}); },
+          [this](const keyed_record &record) { m_hooks.onOutdated(record); })
     , m_lastFailure(loop.now() - std::chrono::hours(1))
     , m_outages(options.outages)
 {
--- a/src/gateway/log_follower.h
+++ b/src/gateway/log_follower.h
@@ -74,6 +74,8 @@
     std::function<bool()> isReadElsewhere = [] { return false; };
     /// Called when a key has a newer record or was removed.
     std::function<void(const keyed_record &record, record_timing timing)> onRecord;
+    /// Called with a record that the log executed late, after a newer one of its key; see topic_rules::mayBeExecutedLate.
+    std::function<void(const keyed_record &record)> onOutdated = [](const keyed_record &) {};
     /// Called once, when isComplete() becomes true.
     std::function<void()> onComplete = [] {};
     /// Called when the log, or a snapshot, shows a higher epoch than all before.
--- a/src/membership/topic_records.cpp
+++ b/src/membership/topic_records.cpp
@@ -7,9 +7,10 @@
 namespace wisteriashunt
 {
 
-topic_records::topic_records(topic_rules rules, change_hook onChange)
+topic_records::topic_records(topic_rules rules, change_hook onChange, change_hook onOutdated)
     : m_rules(std::move(rules))
     , m_onChange(std::move(onChange))
+    , m_onOutdated(std::move(onOutdated))
 {
 }
 
@@ -208,6 +209,9 @@
             if (m_change && isOtherEpoch) {
                 ++m_change->kept;
             }
+            if (known->second.position() < record.position() && !isOtherEpoch) {
+                m_onOutdated(record);
+            }
             return;
         }
         if (m_change && isOtherEpoch && record.value) {
--- a/src/membership/topic_records.h
+++ b/src/membership/topic_records.h
@@ -74,7 +74,9 @@
     /// Called with each record that replaces the known one of its key, or removes it.
     using change_hook = std::function<void(const keyed_record &record)>;
 
-    topic_records(topic_rules rules, change_hook onChange);
+    /// onOutdated is called with each record that a newer one at an earlier offset keeps out; see topic_rules::mayBeExecutedLate.
+    topic_records(
+        topic_rules rules, change_hook onChange, change_hook onOutdated = [](const keyed_record &) {});
 
     /// Notes that the log has reached an epoch. Returns true if it is higher than all before; the topic is then read anew.
     bool noteEpoch(std::int64_t epoch);
@@ -115,6 +117,7 @@
 
     topic_rules m_rules;
     change_hook m_onChange;
+    change_hook m_onOutdated;
     std::map<std::string, keyed_record> m_records;
     std::int64_t m_epoch = 0;
     std::optional<log_position> m_next;
--- a/test/store_restore_test.cpp
+++ b/test/store_restore_test.cpp
@@ -192,6 +192,24 @@
     EXPECT_EQ(started.snapshot().records, (std::vector{at(0, 5, "config", "8")}));
 }
 
+TEST(topic_records_test, ReportsARecordThatTheLogExecutesLateAndKeepsTheNewerOne)
+{
+    auto rules = numberRules(true);
+    rules.mayBeExecutedLate = true;
+    std::vector<std::string> outdated;
+    topic_records records(
+        rules, [](const keyed_record &) {}, [&](const keyed_record &record) { outdated.push_back(*record.value); });
+    records.onPage(records.nextRead(), {.records = {at(0, 5, "config", "8")}, .end = 6});
+    records.onPage(records.nextRead(), {.records = {at(0, 6, "config", "7")}, .end = 7});
+    EXPECT_EQ(records.next(), (log_position{.epoch = 0, .offset = 7}));
+    EXPECT_EQ(records.snapshot().records, (std::vector{at(0, 5, "config", "8")}));
+    EXPECT_EQ(outdated, (std::vector<std::string>{"7"}));
+    records.onPage(records.nextRead(), {.records = {at(0, 7, "config", "8")}, .end = 8});
+    EXPECT_EQ(records.snapshot().records, (std::vector{at(0, 7, "config", "8")})) << "neither is older";
+    records.onPage(records.nextRead(), {.records = {{.key = "config", .offset = 8}}, .end = 9});
+    EXPECT_TRUE(records.snapshot().records.empty()) << "a removal";
+}
+
 TEST(topic_records_test, DoesNotBringBackAKeyThatAnEntryBehindStillKnows)
 {
     topic_records records(numberRules(false), [](const keyed_record &) {});
