Soak: the number of entries can be set

Cause: the soak plays three entries; the faults of large fleets (several entries that leave, start and are cut at once) were played by hand only.

--- a/test/entry_soak_test.cpp
+++ b/test/entry_soak_test.cpp
@@ -8,6 +8,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdlib>
@@ -24,12 +25,21 @@
 namespace
 {
 
-constexpr int entries = 3;
 constexpr int endpoints = 3;
-constexpr int callers = 12;
 constexpr int eventsInStream = 12;
 constexpr std::string_view lastChunk = "0\r\n\r\n";
 
+/// Number of entries, at least the three that faults hit; WISTERIASHUNT_SOAK_ENTRIES sets it.
+int entryCount()
+{
+    constexpr int least = 3;
+    const char *text = std::getenv("WISTERIASHUNT_SOAK_ENTRIES");
+    return text == nullptr ? least : std::max(least, std::stoi(text));
+}
+
+const int entries = entryCount();
+const int callers = std::max(12, entries);
+
 /// Counts how often endpoints ran each attempt.
 class run_counter
 {
@@ -310,8 +320,8 @@
     run_counter m_runCounter;
     std::vector<std::unique_ptr<loopback_server>> m_servers;
     std::vector<std::unique_ptr<fault_proxy>> m_links;
-    std::array<entry_ports, entries> m_ports;
-    std::array<pid_t, entries> m_processes{};
+    std::vector<entry_ports> m_ports = std::vector<entry_ports>(static_cast<std::size_t>(entries));
+    std::vector<pid_t> m_processes = std::vector<pid_t>(static_cast<std::size_t>(entries));
     std::atomic<bool> m_isBeforeFaults{true};
     boot_clock m_clock;
     std::mutex m_limitsMutex;
@@ -327,7 +337,7 @@
     /// Probes readiness like the platform's balancer: an entry that fails two probes in a row gets no new connections.
     void runBalancer()
     {
-        std::array<int, entries> misses{};
+        std::vector<int> misses(static_cast<std::size_t>(entries));
         while (!m_isStopping) {
             for (int i = 0; i < entries; ++i) {
                 misses[i] = readinessStatus(m_ports[i].readiness) == 200 ? 0 : misses[i] + 1;
@@ -464,7 +474,7 @@
         }
     }
 
-    std::array<std::atomic<bool>, entries> m_isInRotation{};
+    std::vector<std::atomic<bool>> m_isInRotation = std::vector<std::atomic<bool>>(static_cast<std::size_t>(entries));
     std::atomic<int> m_served{0};
     std::atomic<int> m_unframed{0};
     mutable std::mutex m_mutex;
@@ -502,10 +512,18 @@
 TEST_F(entry_soak_test, PlannedRestartsCutNoRequestAndFaultsBreakNoGuarantee)
 {
     std::mt19937 random(soakSeed());
-    for (int entry = 0; entry < entries; ++entry) {
+    for (const int entry : {0, 1, 2}) {
         restartInSeries(random, {entry});
     }
     restartInSeries(random, {0, 1});
+    constexpr int mostAtOnce = 10;
+    for (int first = 3; first < entries; first += mostAtOnce) {
+        std::vector<int> series;
+        for (int entry = first; entry < std::min(first + mostAtOnce, entries); ++entry) {
+            series.push_back(entry);
+        }
+        restartInSeries(random, series);
+    }
     m_isBeforeFaults = false;
     std::thread limits([this] { changeLimits(); });
 
@@ -595,7 +613,7 @@
                 served.insert(all[i].entry);
             }
         }
-        return served.size() == entries;
+        return static_cast<int>(served.size()) == entries;
     });
     stopCallers();
 
