Soak: some operations last for 1.5 s

Cause: operations of 30 ms end long before the time that an entry has left after SIGTERM, so restarts in series did not play the end of a grace period.

Change: every 25th operation lasts for 1.5 s.

--- a/test/entry_soak_test.cpp
+++ b/test/entry_soak_test.cpp
@@ -370,8 +370,9 @@
         }
         m_runCounter.note(attempt);
         if (got.target.starts_with("/read/") || got.target.starts_with("/book/")) {
-            // About a third of the duration of a stream, so that faults also hit running operations.
-            sleepMilliseconds(30);
+            // About a third of the duration of a stream, so that faults also hit running operations. Some last well into a grace period.
+            constexpr int longInterval = 25;
+            sleepMilliseconds(++m_operations % longInterval == 0 ? 1500 : 30);
             return {.parts = {withLength(okHead(got) + limit, attempt)}};
         }
         const auto version = versionOf(*findHeader(got.headers, "x-expect-instance"));
@@ -476,6 +477,7 @@
 
     std::vector<std::atomic<bool>> m_isInRotation = std::vector<std::atomic<bool>>(static_cast<std::size_t>(entries));
     std::atomic<int> m_served{0};
+    std::atomic<int> m_operations{0};
     std::atomic<int> m_unframed{0};
     mutable std::mutex m_mutex;
     std::vector<outcome> m_outcomes;
