--- a/src/gateway/peer_records.cpp
+++ b/src/gateway/peer_records.cpp
@@ -327,7 +327,7 @@
     state.timeout = m_loop.schedule(m_loop.now() + m_options.timeout, [fail] { fail("timeout"); });
     const auto status = std::make_shared<int>(0);
     const auto body = std::make_shared<std::string>();
-    // A peer that is ahead at the same place knows records that the log has followed by outdated ones.
+    // If the log has brought an outdated record last, a peer at the same place may still know a newer one.
     const bool wantsAll = state.aheadSince != time_point{};
     state.connection->send(recordsRequest(follower, peer, wantsAll ? std::string() : knownBy(follower)),
                            {.onHead =
